--- /dev/null
+++ b/crates/wheelspread/src/facts.rs
@@ -0,0 +1,43 @@
+//! Settings as they arrive: a plain map of names to values. Lists are spelt with their position,
+//! as in `operation.0.latency_objective`, and with their length under the list's own name.
+
+use std::collections::BTreeMap;
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Fact {
+    Number(f64),
+    Text(String),
+    Flag(bool),
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Facts(pub BTreeMap<String, Fact>);
+
+impl Facts {
+    pub fn number(&self, name: &str) -> Result<f64, String> {
+        match self.0.get(name) {
+            Some(Fact::Number(value)) if value.is_finite() => Ok(*value),
+            Some(other) => Err(format!("setting {name} should be a number, it is {other:?}")),
+            None => Err(format!("setting {name} is missing")),
+        }
+    }
+
+    pub fn number_or(&self, name: &str, otherwise: f64) -> f64 {
+        self.number(name).unwrap_or(otherwise)
+    }
+
+    pub fn text(&self, name: &str) -> Result<&str, String> {
+        match self.0.get(name) {
+            Some(Fact::Text(value)) => Ok(value),
+            Some(other) => Err(format!("setting {name} should be a text, it is {other:?}")),
+            None => Err(format!("setting {name} is missing")),
+        }
+    }
+
+    pub fn flag_or(&self, name: &str, otherwise: bool) -> bool {
+        match self.0.get(name) {
+            Some(Fact::Flag(value)) => *value,
+            _ => otherwise,
+        }
+    }
+}
--- /dev/null
+++ b/crates/wheelspread/src/lib.rs
@@ -0,0 +1,11 @@
+//! A traffic director for fleets of sidecar proxies. `balance` holds every decision; the other
+//! modules hold what it speaks with (`interface`) and the plain types it is written in.
+
+pub mod balance;
+pub mod facts;
+pub mod ids;
+pub mod interface;
+pub mod pcg;
+pub mod ring;
+pub mod state;
+pub mod time;
--- /dev/null
+++ b/crates/wheelspread/src/pcg.rs
@@ -0,0 +1,26 @@
+//! A permuted congruential generator (PCG-XSH-RR 64/32), started from the seed an instance is given.
+
+#[derive(Clone, Debug)]
+pub struct Pcg(u64);
+
+const MULTIPLIER: u64 = 6364136223846793005;
+const INCREMENT: u64 = 1442695040888963407;
+
+impl Pcg {
+    pub fn new(seed: u64) -> Pcg {
+        let mut pcg = Pcg(seed.wrapping_add(INCREMENT));
+        pcg.next();
+        pcg
+    }
+
+    pub fn next(&mut self) -> u32 {
+        let old = self.0;
+        self.0 = old.wrapping_mul(MULTIPLIER).wrapping_add(INCREMENT);
+        ((((old >> 18) ^ old) >> 27) as u32).rotate_right((old >> 59) as u32)
+    }
+
+    /// Evenly from 0 up to 1.
+    pub fn unit(&mut self) -> f64 {
+        f64::from(self.next()) / 4294967296.0
+    }
+}
--- /dev/null
+++ b/crates/wheelspread/src/time.rs
@@ -0,0 +1,79 @@
+//! Points in time and spans, kept apart so that they can't be mixed up. Both count microseconds.
+
+use std::ops::{Add, Mul, Sub};
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Moment(i64);
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Span(i64);
+
+fn micros(seconds: f64) -> i64 {
+    // The cast saturates, and takes NaN for zero.
+    (seconds * 1e6).round() as i64
+}
+
+impl Moment {
+    pub fn from_seconds(seconds: f64) -> Moment {
+        Moment(micros(seconds))
+    }
+
+    pub fn seconds(self) -> f64 {
+        self.0 as f64 / 1e6
+    }
+
+    pub fn micros(self) -> i64 {
+        self.0
+    }
+}
+
+impl Span {
+    pub const ZERO: Span = Span(0);
+
+    pub fn from_seconds(seconds: f64) -> Span {
+        Span(micros(seconds))
+    }
+
+    pub fn seconds(self) -> f64 {
+        self.0 as f64 / 1e6
+    }
+
+    pub fn micros(self) -> i64 {
+        self.0
+    }
+}
+
+impl Add<Span> for Moment {
+    type Output = Moment;
+    fn add(self, span: Span) -> Moment {
+        Moment(self.0.saturating_add(span.0))
+    }
+}
+
+impl Sub<Span> for Moment {
+    type Output = Moment;
+    fn sub(self, span: Span) -> Moment {
+        Moment(self.0.saturating_sub(span.0))
+    }
+}
+
+impl Sub<Moment> for Moment {
+    type Output = Span;
+    fn sub(self, earlier: Moment) -> Span {
+        Span(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add for Span {
+    type Output = Span;
+    fn add(self, more: Span) -> Span {
+        Span(self.0.saturating_add(more.0))
+    }
+}
+
+impl Mul<f64> for Span {
+    type Output = Span;
+    fn mul(self, factor: f64) -> Span {
+        Span((self.0 as f64 * factor).round() as i64)
+    }
+}
