--- a/crates/wheelspread/src/balance.rs
+++ b/crates/wheelspread/src/balance.rs
@@ -79,6 +79,8 @@
 const RETRY: &[(Repeat, bool, bool, Retry)] = &[
     (Repeat::Idempotent, true, false, Retry::OnceAfterAnyFailure),
     (Repeat::Fingerprinted, true, false, Retry::OnceAfterAnyFailure),
+    (Repeat::Fingerprinted, false, false, Retry::AfterProofItNeverRan),
+    (Repeat::SideEffecting, false, false, Retry::AfterProofItNeverRan),
 ];
 
 const NEEDED: &[&str] = &[
@@ -122,7 +124,9 @@
 const HOLD: f64 = 4.0; // to the sums' period plus the channel's longest delay
 const OUT_AT_MOST: f64 = 0.34; // of a zone's nodes: with more failing, no single node is to blame
 const STEP_WRITES: f64 = 0.4; // of the messages allowed to a proxy
-const LEVEL_WRITES: f64 = 0.6; // the same, for admission
+const LEVEL_WRITES: f64 = 0.2; // the same, for admission
+const LEVEL_RISE: f64 = 0.05; // of an operation's traffic, each time levels are set
+const ERRING: f64 = 0.15; // of all tries: with more, the fleet is overrun whatever else is measured
 const DRAIN_WRITES: f64 = 0.95; // the same, for what can't wait
 const STEP_LINES: f64 = 0.1; // of the lines that may wait in the channel
 const JOIN_LINES: f64 = 0.7; // the same, for joins
@@ -141,6 +145,9 @@
     channel: Channel,
     joins: BTreeSet<ProxyId>,
     cut: Option<(TableId, f64)>,
+    let_in: BTreeMap<(TableId, OperationId), f64>,
+    ease: f64,
+    strained: bool,
     heard: Moment,
     moved: bool,
     learnt: bool,
@@ -200,6 +207,9 @@
             channel: Channel::default(),
             joins: BTreeSet::new(),
             cut: None,
+            let_in: BTreeMap::new(),
+            ease: 1.0,
+            strained: false,
             heard: now,
             moved: true,
             learnt: false,
@@ -451,9 +461,16 @@
         for id in ids {
             let rate = self.rate_at(id);
             let pressure = self.pressure(&self.nodes[&id]);
+            let mut met = Work::default();
+            self.paths
+                .iter()
+                .filter(|(key, _)| key.1 == id)
+                .for_each(|(_, p)| met += p.sums.last(self.now, 4));
+            let erring = met.errored / met.tries.max(1.0);
             let Some(node) = self.nodes.get_mut(&id).filter(|node| node.news > Span::ZERO) else { continue };
             let news = std::mem::take(&mut node.news);
-            if let Some(pressure) = pressure.filter(|p| *p > 0.1 && rate > 0.0) {
+            // A node that turns most tries away shows its queue, not its speed.
+            if let Some(pressure) = pressure.filter(|p| *p > 0.1 && rate > 0.0 && erring < 0.25) {
                 node.capacity.feed((rate / pressure).ln(), news, memory);
                 node.evidence = (node.evidence + news.seconds() / period.seconds()).min(MEMORY * 2.0);
             }
@@ -887,12 +904,15 @@
                 *lines = fill;
             }
         }
+        // Proxies that try again bring more tries than they let in.
+        let tries: f64 = self.paths.values().filter_map(|path| path.rate.get()).sum();
+        let repeated = (tries / totals.values().sum::<f64>().max(1e-6)).max(1.0);
         for (id, node) in self.nodes.iter().filter(|(_, node)| node.life == Life::Cold) {
             let load: f64 = after
                 .iter()
                 .filter_map(|(t, lines)| Some(totals[t] * lines.get(id)? / lines.values().sum::<f64>()))
                 .sum();
-            let load = load * self.beyond() + self.told_by_peers(*id);
+            let load = load * self.beyond() * repeated + self.told_by_peers(*id);
             let limit = self.cold_limit(node);
             if load <= limit * 1.05 {
                 continue;
@@ -911,71 +931,80 @@
 
     // ---- mechanism 4: overload admission ----
 
-    /// Mean load of the nodes by what they serve, of 1.
+    /// Tries of the last few periods, all zones and nodes together.
+    fn met(&self) -> Work {
+        let mut sum = Work::default();
+        self.paths.values().for_each(|path| sum += path.sums.last(self.now, 4));
+        sum
+    }
+
+    /// Mean load of the nodes by the tries they get, of 1; full when a good part of all tries errs.
     fn strain(&self) -> f64 {
         let (mut sum, mut rates) = (0.0, 0.0);
-        for (id, node) in self.nodes.iter().filter(|(id, _)| self.open(**id)) {
-            if let Some(pressure) = self.pressure(node) {
-                let rate = self.rate_at(*id);
+        for ((_, id), path) in self.paths.iter().filter(|(key, _)| self.open(key.1)) {
+            if let (Some(pressure), Some(rate)) = (self.pressure(&self.nodes[id]), path.rate.get()) {
                 sum += rate * pressure;
                 rates += rate;
             }
         }
-        if rates > 0.0 {
-            sum / rates
-        } else {
-            0.0
+        let met = self.met();
+        if met.errored > met.tries * ERRING {
+            return 1.0;
         }
+        sum / rates.max(1e-6)
     }
 
-    /// Levels and retry orders by table. Under strain what is asked beyond capacity is turned away at
-    /// the door, the operations of least billed value first, none quite to nothing. Covers overload,
-    /// lost nodes, and a dependency that slows all. Harm: an estimate too low turns away too much, so
-    /// nothing is cut unless measured load confirms it.
-    fn admission(&self) -> BTreeMap<(TableId, OperationId), (f64, Retry)> {
+    /// Shares to let in, by table and operation. What is asked beyond capacity is turned away at the
+    /// door, the operations of least billed value first. Covers overload, lost nodes, and whatever
+    /// slows all nodes at once. Harm: an estimate too low turns away too much, so nothing is cut unless
+    /// measured load or errors confirm it, and `ease` follows the errors rather than the estimate.
+    fn admission(&mut self) {
         let strain = self.strain();
-        let capacity: f64 = self.nodes.keys().filter(|id| self.open(**id)).map(|id| self.able(*id)).sum();
-        let all: f64 = self.zone_demand().values().sum();
-        let own = self.demand_total().max(1e-6);
-        let scale = (all / own).max(1.0);
-        let mut levels = BTreeMap::new();
-        let mut excess = (all - FULL * capacity).max(0.0);
+        let strained = strain >= STRAINED;
+        self.ease = if strain >= 1.0 { (self.ease * 0.9).max(0.3) } else { (self.ease + 0.04).min(1.0) };
+        let ids: Vec<NodeId> = self.nodes.keys().copied().filter(|id| self.open(*id)).collect();
+        let able: BTreeMap<NodeId, f64> = ids.iter().map(|id| (*id, self.able(*id))).collect();
+        let demand = self.zone_demand();
+        let all: f64 = demand.values().sum();
+        let scale = all / self.demand_total().max(1e-6);
+        let mut excess = (all - FULL * self.ease * able.values().sum::<f64>()).max(0.0);
         let mut shares: BTreeMap<OperationId, f64> = BTreeMap::new();
-        let mut cheap: Vec<&Operation> = self.operations.iter().collect();
+        let mut cheap: Vec<Operation> = self.operations.clone();
         cheap.sort_by(|a, b| a.value.total_cmp(&b.value));
-        for operation in cheap {
-            let asked: f64 =
-                self.proxies.values().map(|p| self.demand(p, &[operation.id])).sum::<f64>() * scale;
-            let cut = excess.min(asked * (1.0 - LEAST_LEVEL));
-            excess -= cut;
-            shares.insert(operation.id, 1.0 - cut / asked.max(1e-6));
+        for least in [LEAST_LEVEL, 0.02] {
+            for operation in &cheap {
+                let asked: f64 =
+                    self.proxies.values().map(|p| self.demand(p, &[operation.id])).sum::<f64>() * scale;
+                let share = shares.entry(operation.id).or_insert(1.0);
+                let cut = excess.min(asked * (*share - least).max(0.0));
+                excess -= cut;
+                *share -= cut / asked.max(1e-6);
+            }
         }
         for (id, table) in &self.tables {
             for operation in &table.operations {
-                let known = &self.operations[usize::from(operation.0)];
-                let before = table.levels.get(operation).map_or(1.0, |level| level.0);
+                let before = self.let_in.get(&(*id, *operation)).copied().unwrap_or(1.0);
                 let mut share = shares[operation];
                 if table.stays {
-                    let zone = (table.zone, true);
-                    let asked = self.zone_demand()[&zone];
-                    let nodes =
-                        self.nodes.iter().filter(|(n, node)| node.zone == table.zone && self.open(**n));
-                    let able: f64 = nodes.map(|(n, _)| self.able(*n)).sum();
+                    let nodes = ids.iter().filter(|n| self.nodes[n].zone == table.zone);
+                    let able: f64 = nodes.map(|n| able[n]).sum();
+                    let asked = demand[&(table.zone, true)];
                     share = share.min(if asked > able && able > 0.0 { able / asked } else { 1.0 });
-                } else if strain < STRAINED {
-                    share = share.max(before.min(1.0));
-                }
-                if strain < STRAINED && share < 1.0 {
-                    share = (share * 1.08).min(1.0);
                 }
-                if self.cut.is_some_and(|cut| cut.0 == *id) {
-                    share *= self.cut.map_or(1.0, |cut| cut.1);
-                }
-                let quota = if share > 0.97 { self.no_quota() } else { self.quota(table, *operation, share) };
-                levels.insert((*id, *operation), (quota, self.retry(known, strain >= STRAINED)));
+                share =
+                    if strained { share.min(before + LEVEL_RISE) } else { share.max(before + LEVEL_RISE) };
+                self.let_in.insert((*id, *operation), share.clamp(0.02, 1.0));
             }
         }
-        levels
+        self.strained = strained;
+    }
+
+    fn level(&self, id: TableId, operation: OperationId) -> (f64, Retry) {
+        let share = self.let_in.get(&(id, operation)).copied().unwrap_or(1.0);
+        let share = share * self.cut.filter(|cut| cut.0 == id).map_or(1.0, |cut| cut.1);
+        let quota =
+            if share > 0.97 { self.no_quota() } else { self.quota(&self.tables[&id], operation, share) };
+        (quota, self.retry(&self.operations[usize::from(operation.0)], self.strained))
     }
 
     fn no_quota(&self) -> f64 {
@@ -1019,7 +1048,7 @@
             Repeat::SideEffecting => false,
         };
         let row = RETRY.iter().find(|row| (row.0, row.1, row.2) == (operation.effect, guarded, strained));
-        row.map_or(Retry::AfterProofItNeverRan, |row| row.3)
+        row.map_or(Retry::Never, |row| row.3)
     }
 
     // ---- mechanism 5: channel ledger ----
@@ -1083,7 +1112,7 @@
             let orders = self.urgent(&targets);
             self.publish(&orders, &mut lines, out);
         }
-        if self.step_due() && self.may_write(STEP_WRITES + 0.05) {
+        if self.step_due() && self.may_write(STEP_WRITES + LEVEL_WRITES) {
             let orders = self.plan(&targets);
             step = orders.values().any(|lines| !lines.is_empty());
             self.publish(&orders, &mut lines, out);
@@ -1123,22 +1152,27 @@
     }
 
     fn publish_levels(&mut self, lines: &mut BTreeMap<TableId, usize>, out: &mut Vec<Action>) {
-        let due = self.channel.last_levels.is_none_or(|at| self.now - at >= self.period());
-        if !due || !self.may_write(LEVEL_WRITES) {
+        let cap = self.fact("channel.messages_at_most");
+        let pace = if cap > 0.0 { self.fact("channel.messages_window") / (cap * LEVEL_WRITES) } else { 0.0 };
+        let pace = self.period().max(Span::from_seconds(pace));
+        if self.channel.last_levels.is_some_and(|at| self.now - at < pace) {
             return;
         }
-        for ((id, operation), (quota, retry)) in self.admission() {
+        self.channel.last_levels = Some(self.now);
+        self.admission();
+        if lines.is_empty() && !self.may_write(LEVEL_WRITES + STEP_WRITES) {
+            return;
+        }
+        let all = self.tables.iter().flat_map(|(id, t)| t.operations.iter().map(|o| (*id, *o)));
+        for (id, operation) in all.collect::<Vec<_>>() {
+            let (quota, retry) = self.level(id, operation);
             let Some(table) = self.tables.get_mut(&id) else { continue };
-            let before = table.levels.get(&operation);
-            let same = before.is_some_and(|old| {
-                let near = (old.0 - quota).abs() <= 0.04 * old.0.max(quota);
-                near && old.1 == retry
-            });
-            if !same {
+            let same =
+                |old: &(f64, Retry)| (old.0 - quota).abs() <= 0.04 * old.0.max(quota) && old.1 == retry;
+            if !table.levels.get(&operation).is_some_and(same) {
                 table.levels.insert(operation, (quota, retry));
                 out.push(Action::SetLevel { table: Some(id), operations: vec![operation], quota, retry });
                 *lines.entry(id).or_default() += 1;
-                self.channel.last_levels = Some(self.now);
             }
         }
     }
