--- a/crates/wheelspread/src/balance.rs
+++ b/crates/wheelspread/src/balance.rs
@@ -111,6 +111,7 @@
 const STEP_STARTS: f64 = 0.12; // to a line's weight: a change that starts a step by itself
 const MEMORY: f64 = 6.0; // to the sums' period: how long measures are remembered
 const PRIOR: f64 = 3.0; // to the sums' period: what the kind's mean counts beside a node's own sums
+const EVIDENCE: f64 = 5.0; // invocations: as many weigh as one full period
 const USUAL_LOAD: f64 = 0.6; // of capacity, assumed before anything is heard
 const COMFORT: f64 = 0.5; // of a zone's capacity: below it traffic stays at home
 const COMFORT_PRICE: f64 = 3.0; // to the price of crossing zones: how much later it leaves
@@ -147,6 +148,7 @@
     cut: Option<(TableId, f64)>,
     let_in: BTreeMap<(TableId, OperationId), f64>,
     ease: f64,
+    quickest: BTreeMap<KindId, f64>,
     strained: bool,
     heard: Moment,
     moved: bool,
@@ -209,6 +211,7 @@
             cut: None,
             let_in: BTreeMap::new(),
             ease: 1.0,
+            quickest: BTreeMap::new(),
             strained: false,
             heard: now,
             moved: true,
@@ -323,7 +326,7 @@
         if row.3 == Then::Chill {
             // A process that started anew is another one: nothing measured before speaks of it.
             (node.capacity, node.utilization, node.sojourn) = Default::default();
-            (node.service, node.quickest, node.evidence, node.carried) = (Smooth::default(), None, 0.0, 0.0);
+            (node.evidence, node.carried) = (0.0, 0.0);
         }
         if row.3 != Then::Nothing {
             self.paths.retain(|key, _| key.1 != id);
@@ -382,18 +385,13 @@
         let served = work.tries - work.errored;
         if served > 0.0 && latency > Span::ZERO {
             let covers = over * (served / (served + 2.0));
-            node.sojourn.feed(latency.seconds(), covers, memory);
+            node.sojourn.feed(latency.seconds(), covers, memory * 0.5);
         }
-        for (field, value) in fields.iter().zip(load).filter(|(_, value)| value.is_finite() && **value >= 0.0)
-        {
-            match field.as_str() {
-                "utilization" => node.utilization.feed(value.min(1.0), over, memory * 0.5),
-                "service-ms" if *value > 0.0 => node.service.feed(value / 1e3, over, memory),
-                _ => {}
+        for (field, value) in fields.iter().zip(load).filter(|(_, value)| value.is_finite() && **value >= 0.0) {
+            if field == "utilization" {
+                node.utilization.feed(value.min(1.0), over, memory * 0.5);
             }
         }
-        let base = node.service.get().or(node.sojourn.get());
-        node.quickest = node.quickest.map_or(base, |old| base.map(|new| old.min(new))).or(node.quickest);
         (node.heard, node.news) = (Some(now), node.news.max(over));
         let path = self.path(zone, id);
         path.rate.feed(work.tries / over.seconds(), over, memory);
@@ -418,17 +416,33 @@
         self.nodes.get(&id).is_some_and(|node| matches!(node.life, Life::Cold | Life::Warm))
     }
 
-    /// How busy a node is, of 1. Where reports don't say, from how long invocations waited beyond the
-    /// quickest service seen there (the shape is that of a queue before a few cores).
+    /// How busy a node is, of 1. Where reports don't say, from how much longer its invocations take
+    /// than those of its kind did at their quickest (the shape is that of a queue before a few cores).
+    /// Queue lengths and service times don't serve here: they stay at nothing until it is too late.
     fn pressure(&self, node: &Node) -> Option<f64> {
         node.utilization.get().or_else(|| {
-            let (sojourn, quickest) = (node.sojourn.get()?, node.quickest?);
-            let wait = ((sojourn - quickest) / quickest.max(1e-4)).max(0.01);
+            let quickest = *self.quickest.get(&node.kind)?;
+            let wait = (node.sojourn.get()? / quickest - 1.0).max(0.02);
             let y = 3.4 * wait.powf(0.65);
             Some(y / (1.0 + y))
         })
     }
 
+    /// The shortest mean time each kind has shown; forgotten slowly, as what all depend on may change.
+    fn note_quickest(&mut self) {
+        let kinds: BTreeSet<KindId> = self.nodes.values().map(|node| node.kind).collect();
+        for kind in kinds {
+            let warm = self.nodes.values().filter(|node| node.kind == kind && node.life == Life::Warm);
+            let known = warm.filter(|node| node.evidence >= PRIOR).filter_map(|node| node.sojourn.get());
+            let mut known: Vec<f64> = known.collect();
+            known.sort_by(f64::total_cmp);
+            if let Some(middle) = known.get(known.len() / 2) {
+                let least = self.quickest.entry(kind).or_insert(*middle);
+                *least = (*least * 1.003).min(*middle);
+            }
+        }
+    }
+
     fn rate_at(&self, id: NodeId) -> f64 {
         let stale = self.heard - self.period() * 3.0;
         let own: f64 = self
@@ -455,12 +469,14 @@
             return;
         }
         self.learnt = true;
-        let (memory, period) = (self.period() * MEMORY, self.period());
+        self.note_quickest();
+        let memory = self.period() * MEMORY;
         let objective = self.objective();
         let ids: Vec<NodeId> = self.nodes.keys().copied().filter(|id| self.open(*id)).collect();
         for id in ids {
             let rate = self.rate_at(id);
             let pressure = self.pressure(&self.nodes[&id]);
+            let fade = (-self.period().seconds() / (memory.seconds() * 2.0)).exp();
             let mut met = Work::default();
             self.paths
                 .iter()
@@ -470,9 +486,11 @@
             let Some(node) = self.nodes.get_mut(&id).filter(|node| node.news > Span::ZERO) else { continue };
             let news = std::mem::take(&mut node.news);
             // A node that turns most tries away shows its queue, not its speed.
+            // Little evidence weighs little, and old evidence fades, so a node that gets next to nothing
+            // because it was slow once is tried again.
+            node.evidence = node.evidence * fade + (rate * news.seconds() / EVIDENCE).min(1.0);
             if let Some(pressure) = pressure.filter(|p| *p > 0.1 && rate > 0.0 && erring < 0.25) {
-                node.capacity.feed((rate / pressure).ln(), news, memory);
-                node.evidence = (node.evidence + news.seconds() / period.seconds()).min(MEMORY * 2.0);
+                node.capacity.feed((rate / pressure).ln(), news * (rate / EVIDENCE).min(1.0), memory);
             }
             if node.sojourn.get().is_some_and(|sojourn| sojourn < objective.seconds() * 0.5) {
                 node.carried = node.carried.max(rate);
@@ -521,7 +539,7 @@
     fn able(&self, id: NodeId) -> f64 {
         let Some(node) = self.nodes.get(&id) else { return 0.0 };
         let prior = (self.full(node) * self.warmth(node)).max(1e-3);
-        let own = node.capacity.get().unwrap_or(0.0);
+        let own = node.capacity.get().unwrap_or(prior.ln());
         let mixed = (own * node.evidence + prior.ln() * PRIOR) / (node.evidence + PRIOR);
         let able = mixed.exp().clamp(prior * 0.1, prior * 10.0);
         if node.life == Life::Cold {
@@ -938,17 +956,19 @@
         sum
     }
 
-    /// Mean load of the nodes by the tries they get, of 1; full when a good part of all tries errs.
-    fn strain(&self) -> f64 {
+    /// Mean load of a zone's nodes, or all, by the tries they get, of 1; full when many tries err.
+    fn strain(&self, zone: Option<ZoneId>) -> f64 {
         let (mut sum, mut rates) = (0.0, 0.0);
         for ((_, id), path) in self.paths.iter().filter(|(key, _)| self.open(key.1)) {
-            if let (Some(pressure), Some(rate)) = (self.pressure(&self.nodes[id]), path.rate.get()) {
-                sum += rate * pressure;
-                rates += rate;
-            }
+            let node = &self.nodes[id];
+            let Some(pressure) = self.pressure(node).filter(|_| zone.is_none_or(|z| z == node.zone)) else {
+                continue;
+            };
+            let rate = path.rate.get().unwrap_or(0.0);
+            (sum, rates) = (sum + rate * pressure, rates + rate);
         }
         let met = self.met();
-        if met.errored > met.tries * ERRING {
+        if zone.is_none() && met.errored > met.tries * ERRING {
             return 1.0;
         }
         sum / rates.max(1e-6)
@@ -959,7 +979,7 @@
     /// slows all nodes at once. Harm: an estimate too low turns away too much, so nothing is cut unless
     /// measured load or errors confirm it, and `ease` follows the errors rather than the estimate.
     fn admission(&mut self) {
-        let strain = self.strain();
+        let strain = self.strain(None);
         let strained = strain >= STRAINED;
         self.ease = if strain >= 1.0 { (self.ease * 0.9).max(0.3) } else { (self.ease + 0.04).min(1.0) };
         let ids: Vec<NodeId> = self.nodes.keys().copied().filter(|id| self.open(*id)).collect();
@@ -985,7 +1005,9 @@
             for operation in &table.operations {
                 let before = self.let_in.get(&(*id, *operation)).copied().unwrap_or(1.0);
                 let mut share = shares[operation];
-                if table.stays {
+                let mut strained = strained;
+                if table.stays && self.strain(Some(table.zone)) >= STRAINED {
+                    strained = true;
                     let nodes = ids.iter().filter(|n| self.nodes[n].zone == table.zone);
                     let able: f64 = nodes.map(|n| able[n]).sum();
                     let asked = demand[&(table.zone, true)];
--- a/crates/wheelspread/src/state.rs
+++ b/crates/wheelspread/src/state.rs
@@ -67,10 +67,7 @@
     /// When the list last changed what it says of this node.
     pub told: Moment,
     pub utilization: Smooth,
-    pub service: Smooth,
     pub sojourn: Smooth,
-    /// The quickest service seen: what an invocation takes here when nothing is in its way.
-    pub quickest: Option<f64>,
     /// Logarithm of the invocations a second that it can do.
     pub capacity: Smooth,
     pub evidence: f64,
@@ -90,9 +87,7 @@
             life: Life::Unlisted,
             told: now,
             utilization: Smooth::default(),
-            service: Smooth::default(),
             sojourn: Smooth::default(),
-            quickest: None,
             capacity: Smooth::default(),
             evidence: 0.0,
             carried: 0.0,
