--- a/crates/wheelspread/src/balance.rs
+++ b/crates/wheelspread/src/balance.rs
@@ -111,6 +111,8 @@
 const STEP_STARTS: f64 = 0.12; // to a line's weight: a change that starts a step by itself
 const MEMORY: f64 = 6.0; // to the sums' period: how long measures are remembered
 const PRIOR: f64 = 3.0; // to the sums' period: what the kind's mean counts beside a node's own sums
+const LEARN: f64 = 0.12; // of the distance to the fleet's time, each period
+const ERROR_COST: f64 = 2.0; // to the latency objective: what an errored try counts as
 const EVIDENCE: f64 = 5.0; // invocations: as many weigh as one full period
 const USUAL_LOAD: f64 = 0.6; // of capacity, assumed before anything is heard
 const COMFORT: f64 = 0.5; // of a zone's capacity: below it traffic stays at home
@@ -261,7 +263,7 @@
                 self.node_sums(
                     *zone,
                     *node,
-                    Work { tries: *tries, errored: *errored },
+                    Work { tries: *tries, errored: *errored, seconds: 0.0 },
                     *latency,
                     *over,
                     load,
@@ -387,12 +389,16 @@
             let covers = over * (served / (served + 2.0));
             node.sojourn.feed(latency.seconds(), covers, memory * 0.5);
         }
-        for (field, value) in fields.iter().zip(load).filter(|(_, value)| value.is_finite() && **value >= 0.0) {
+        for (field, value) in fields.iter().zip(load).filter(|(_, value)| value.is_finite() && **value >= 0.0)
+        {
             if field == "utilization" {
                 node.utilization.feed(value.min(1.0), over, memory * 0.5);
             }
         }
         (node.heard, node.news) = (Some(now), node.news.max(over));
+        node.fresh.tries += work.tries;
+        node.fresh.errored += work.errored;
+        node.fresh.seconds += served * latency.seconds().clamp(0.0, 60.0);
         let path = self.path(zone, id);
         path.rate.feed(work.tries / over.seconds(), over, memory);
         path.served.feed(served / over.seconds(), over, memory);
@@ -472,30 +478,72 @@
         self.note_quickest();
         let memory = self.period() * MEMORY;
         let objective = self.objective();
+        let fade = (-self.period().seconds() / (memory.seconds() * 2.0)).exp();
         let ids: Vec<NodeId> = self.nodes.keys().copied().filter(|id| self.open(*id)).collect();
-        for id in ids {
-            let rate = self.rate_at(id);
-            let pressure = self.pressure(&self.nodes[&id]);
-            let fade = (-self.period().seconds() / (memory.seconds() * 2.0)).exp();
-            let mut met = Work::default();
-            self.paths
-                .iter()
-                .filter(|(key, _)| key.1 == id)
-                .for_each(|(_, p)| met += p.sums.last(self.now, 4));
-            let erring = met.errored / met.tries.max(1.0);
-            let Some(node) = self.nodes.get_mut(&id).filter(|node| node.news > Span::ZERO) else { continue };
-            let news = std::mem::take(&mut node.news);
-            // A node that turns most tries away shows its queue, not its speed.
+        let slow = objective.seconds() * ERROR_COST;
+        let each: BTreeMap<NodeId, (f64, f64)> = ids
+            .iter()
+            .filter_map(|id| {
+                let node = &self.nodes[id];
+                let base = self.quickest.get(&node.kind).copied().unwrap_or(objective.seconds()).sqrt();
+                let time = (node.fresh.seconds + node.fresh.errored * slow) / node.fresh.tries;
+                (node.fresh.tries > 0.0 && time > 0.0).then(|| (*id, (node.fresh.tries, (time / base).ln())))
+            })
+            .collect();
+        let tries: f64 = each.values().map(|(tries, _)| tries).sum();
+        let usual = each.values().map(|(tries, time)| tries * time).sum::<f64>() / tries.max(1.0);
+        for id in &ids {
+            let (rate, pressure) = (self.rate_at(*id), self.pressure(&self.nodes[id]));
+            let prior = (self.full(&self.nodes[id]) * self.warmth(&self.nodes[id])).max(1e-3).ln();
+            let Some(node) = self.nodes.get_mut(id) else { continue };
+            node.evidence *= fade;
+            let (news, fresh) = (std::mem::take(&mut node.news), std::mem::take(&mut node.fresh));
+            if fresh.tries <= 0.0 {
+                continue;
+            }
             // Little evidence weighs little, and old evidence fades, so a node that gets next to nothing
             // because it was slow once is tried again.
-            node.evidence = node.evidence * fade + (rate * news.seconds() / EVIDENCE).min(1.0);
-            if let Some(pressure) = pressure.filter(|p| *p > 0.1 && rate > 0.0 && erring < 0.25) {
-                node.capacity.feed((rate / pressure).ln(), news * (rate / EVIDENCE).min(1.0), memory);
+            let weight = fresh.tries / (fresh.tries + EVIDENCE);
+            node.evidence += 2.0 * weight;
+            let erring = fresh.errored / fresh.tries;
+            match (node.utilization.get().and(pressure), each.get(id)) {
+                // A node that turns many tries away shows its queue, not its speed.
+                (Some(p), _) if p > 0.1 && rate > 0.0 && erring < 0.25 => {
+                    node.capacity.feed((rate / p).ln(), news * (2.0 * weight).min(1.0), memory);
+                }
+                (None, Some((_, time))) => {
+                    let old = node.capacity.get().unwrap_or(prior);
+                    let step = LEARN * weight * (usual - time).clamp(-1.0, 1.0);
+                    node.capacity.set(Some(old + step - 0.02 * (old - prior)));
+                }
+                _ => {}
             }
             if node.sojourn.get().is_some_and(|sojourn| sojourn < objective.seconds() * 0.5) {
                 node.carried = node.carried.max(rate);
             }
         }
+        self.scale();
+    }
+
+    /// Without utilization a node's figure only compares it with the others; all of them together are
+    /// held against what the fleet serves and how much longer that takes than at its quickest.
+    fn scale(&mut self) {
+        let plain =
+            |node: &Node| node.utilization.get().is_none() && matches!(node.life, Life::Cold | Life::Warm);
+        let (mut rates, mut busy, mut sum) = (0.0, 0.0, 0.0);
+        for (id, node) in self.nodes.iter().filter(|(_, node)| plain(node)) {
+            if let (Some(pressure), Some(capacity)) = (self.pressure(node), node.capacity.get()) {
+                let rate = self.rate_at(*id);
+                (rates, busy, sum) = (rates + rate, busy + rate * pressure, sum + capacity.exp());
+            }
+        }
+        if rates > 0.0 && busy > 0.0 {
+            let shift = 0.2 * (rates * rates / busy / sum).ln().clamp(-1.0, 1.0);
+            for node in self.nodes.values_mut().filter(|node| plain(node)) {
+                let moved = node.capacity.get().map(|capacity| capacity + shift);
+                node.capacity.set(moved);
+            }
+        }
     }
 
     fn objective(&self) -> Span {
@@ -570,7 +618,11 @@
             let (recent, zone) = (path.sums.last(now, 5), all[&key.0]);
             let others = (zone.errored - recent.errored) / (zone.tries - recent.tries).max(1.0);
             let bar = FAILING + 2.0 * others;
-            let failing = recent.errored >= FEWEST_ERRORS && recent.errored > recent.tries * bar;
+            // Slow answers and errors together are a node with too much to do: its weight falls instead.
+            let slow = self.nodes.get(&key.1).and_then(|node| node.sojourn.get());
+            let overrun = slow.is_some_and(|time| time > self.objective().seconds() * 0.7);
+            let overrun = overrun && recent.tries - recent.errored >= FEWEST_ERRORS;
+            let failing = recent.errored >= FEWEST_ERRORS && recent.errored > recent.tries * bar && !overrun;
             let met = match path.standing {
                 Standing::Clear if failing && ((out + 1) as f64) < nodes * OUT_AT_MOST => Met::Failing,
                 Standing::Out if now - path.since > path.hold => Met::HeldLong,
--- a/crates/wheelspread/src/state.rs
+++ b/crates/wheelspread/src/state.rs
@@ -28,12 +28,14 @@
 pub struct Work {
     pub tries: f64,
     pub errored: f64,
+    pub seconds: f64,
 }
 
 impl AddAssign for Work {
     fn add_assign(&mut self, more: Work) {
         self.tries += more.tries;
         self.errored += more.errored;
+        self.seconds += more.seconds;
     }
 }
 
@@ -74,6 +76,8 @@
     pub carried: f64,
     pub heard: Option<Moment>,
     pub news: Span,
+    /// Sums not yet learnt from.
+    pub fresh: Work,
 }
 
 impl Node {
@@ -93,6 +97,7 @@
             carried: 0.0,
             heard: None,
             news: Span::ZERO,
+            fresh: Work::default(),
         }
     }
 }
