--- a/crates/wheelspread/src/balance.rs
+++ b/crates/wheelspread/src/balance.rs
@@ -121,14 +121,15 @@
 const STRAINED: f64 = 0.85; // of capacity: measured load above which admission may cut
 const LEAST_LEVEL: f64 = 0.3; // of an operation's traffic, before the next operation is cut
 const COLD_GUARD: f64 = 0.35; // to the load over a whole window that would push a cold node over
-const FAILING: f64 = 0.2; // of tries, beyond twice what others meet
+const FAILING: f64 = 0.45; // of tries, beyond twice what others meet
 const FEWEST_ERRORS: f64 = 3.0; // tries: fewer prove nothing
-const TRIAL_PART: f64 = 0.1; // to a node's usual weight
+const TRIAL_PART: f64 = 0.2; // to a node's usual weight
 const HOLD: f64 = 4.0; // to the sums' period plus the channel's longest delay
 const OUT_AT_MOST: f64 = 0.34; // of a zone's nodes: with more failing, no single node is to blame
 const STEP_WRITES: f64 = 0.4; // of the messages allowed to a proxy
 const LEVEL_WRITES: f64 = 0.2; // the same, for admission
 const LEVEL_RISE: f64 = 0.05; // of an operation's traffic, each time levels are set
+const EASE_WAITS: f64 = 3.0; // sums' periods between two cuts that errors call for
 const ERRING: f64 = 0.15; // of all tries: with more, the fleet is overrun whatever else is measured
 const DRAIN_WRITES: f64 = 0.95; // the same, for what can't wait
 const STEP_LINES: f64 = 0.1; // of the lines that may wait in the channel
@@ -150,6 +151,7 @@
     cut: Option<(TableId, f64)>,
     let_in: BTreeMap<(TableId, OperationId), f64>,
     ease: f64,
+    eased: Moment,
     quickest: BTreeMap<KindId, f64>,
     strained: bool,
     heard: Moment,
@@ -213,6 +215,7 @@
             cut: None,
             let_in: BTreeMap::new(),
             ease: 1.0,
+            eased: now,
             quickest: BTreeMap::new(),
             strained: false,
             heard: now,
@@ -428,7 +431,7 @@
     fn pressure(&self, node: &Node) -> Option<f64> {
         node.utilization.get().or_else(|| {
             let quickest = *self.quickest.get(&node.kind)?;
-            let wait = (node.sojourn.get()? / quickest - 1.0).max(0.02);
+            let wait = (node.sojourn.get()? / quickest - 1.0).max(0.0) + 0.12;
             let y = 3.4 * wait.powf(0.65);
             Some(y / (1.0 + y))
         })
@@ -649,8 +652,12 @@
     }
 
     fn usable(&self, zone: ZoneId, id: NodeId) -> f64 {
-        match self.paths.get(&(zone, id)).map_or(Standing::Clear, |path| path.standing) {
-            Standing::Clear => 1.0,
+        let Some(path) = self.paths.get(&(zone, id)) else { return 1.0 };
+        let recent = path.sums.last(self.now, 5);
+        let erring = (recent.errored - 1.0).max(0.0) / (recent.tries + 2.0);
+        match path.standing {
+            // What errs in part gets less: too little to be taken out may still be too much to keep.
+            Standing::Clear => (1.0 - erring).powi(2).max(0.05),
             Standing::Trial => TRIAL_PART,
             Standing::Out => 0.0,
         }
@@ -1004,7 +1011,7 @@
     /// Tries of the last few periods, all zones and nodes together.
     fn met(&self) -> Work {
         let mut sum = Work::default();
-        self.paths.values().for_each(|path| sum += path.sums.last(self.now, 4));
+        self.paths.values().for_each(|path| sum += path.sums.last(self.now, 2));
         sum
     }
 
@@ -1033,7 +1040,12 @@
     fn admission(&mut self) {
         let strain = self.strain(None);
         let strained = strain >= STRAINED;
-        self.ease = if strain >= 1.0 { (self.ease * 0.9).max(0.3) } else { (self.ease + 0.04).min(1.0) };
+        // The effect of a cut shows only when sums from after it arrive, so each cut waits for them.
+        if strain < 1.0 {
+            self.ease = (self.ease + 0.04).min(1.0);
+        } else if self.now - self.eased > self.period() * EASE_WAITS {
+            (self.ease, self.eased) = ((self.ease * 0.85).max(0.3), self.now);
+        }
         let ids: Vec<NodeId> = self.nodes.keys().copied().filter(|id| self.open(*id)).collect();
         let able: BTreeMap<NodeId, f64> = ids.iter().map(|id| (*id, self.able(*id))).collect();
         let demand = self.zone_demand();
