--- a/crates/wheelspread/src/balance.rs
+++ b/crates/wheelspread/src/balance.rs
@@ -117,10 +117,11 @@
 const USUAL_LOAD: f64 = 0.6; // of capacity, assumed before anything is heard
 const COMFORT: f64 = 0.5; // of a zone's capacity: below it traffic stays at home
 const COMFORT_PRICE: f64 = 3.0; // to the price of crossing zones: how much later it leaves
+const PROVEN: f64 = 0.95; // of the most a node was lately seen to serve: it can do that again
 const FULL: f64 = 0.88; // of capacity: what admission aims at under overload
 const STRAINED: f64 = 0.85; // of capacity: measured load above which admission may cut
 const LEAST_LEVEL: f64 = 0.3; // of an operation's traffic, before the next operation is cut
-const COLD_GUARD: f64 = 0.35; // to the load over a whole window that would push a cold node over
+const COLD_GUARD: f64 = 0.5; // to the load over a whole window that would push a cold node over
 const FAILING: f64 = 0.45; // of tries, beyond twice what others meet
 const FEWEST_ERRORS: f64 = 3.0; // tries: fewer prove nothing
 const TRIAL_PART: f64 = 0.2; // to a node's usual weight
@@ -331,7 +332,7 @@
         if row.3 == Then::Chill {
             // A process that started anew is another one: nothing measured before speaks of it.
             (node.capacity, node.utilization, node.sojourn) = Default::default();
-            (node.evidence, node.carried) = (0.0, 0.0);
+            (node.evidence, node.carried, node.peak) = (0.0, 0.0, 0.0);
         }
         if row.3 != Then::Nothing {
             self.paths.retain(|key, _| key.1 != id);
@@ -500,6 +501,7 @@
             let prior = (self.full(&self.nodes[id]) * self.warmth(&self.nodes[id])).max(1e-3).ln();
             let Some(node) = self.nodes.get_mut(id) else { continue };
             node.evidence *= fade;
+            node.peak = (node.peak * fade.powf(0.5)).max(rate);
             let (news, fresh) = (std::mem::take(&mut node.news), std::mem::take(&mut node.fresh));
             if fresh.tries <= 0.0 {
                 continue;
@@ -666,9 +668,18 @@
     // ---- mechanism 3: cold guard ----
 
     /// The most that all proxies together may bring a cold node, far enough under what pushes it over
-    /// that bursts, retries and handshakes still fit. Also covers a fleet that is mostly cold.
+    /// that bursts, retries and handshakes still fit. It goes by what warm nodes of its kind are seen to
+    /// serve, never by an estimate of what they could. Also covers a fleet that is mostly cold.
     fn cold_limit(&self, node: &Node) -> f64 {
-        COLD_GUARD * self.fact("rules.cold_overload_factor") * self.warmth(node) * self.full(node)
+        let proven = |kind: Option<KindId>| {
+            let like = self.nodes.iter().filter(|(_, n)| kind.is_none_or(|kind| n.kind == kind));
+            let warm = like.filter(|(_, n)| n.life == Life::Warm && n.peak > 0.0);
+            let (sum, weights) = warm.fold((0.0, 0.0), |sum, (_, n)| (sum.0 + n.peak, sum.1 + n.weight));
+            (weights > 0.0).then(|| sum / weights)
+        };
+        let each = proven(Some(node.kind)).or_else(|| proven(None));
+        let full = each.map_or(self.full(node) * USUAL_LOAD, |each| each * node.weight);
+        COLD_GUARD * self.fact("rules.cold_overload_factor") * self.warmth(node) * full.min(self.full(node))
     }
 
     // ---- load ----
@@ -1044,14 +1055,15 @@
         if strain < 1.0 {
             self.ease = (self.ease + 0.04).min(1.0);
         } else if self.now - self.eased > self.period() * EASE_WAITS {
-            (self.ease, self.eased) = ((self.ease * 0.85).max(0.3), self.now);
+            (self.ease, self.eased) = ((self.ease * 0.85).max(0.5), self.now);
         }
         let ids: Vec<NodeId> = self.nodes.keys().copied().filter(|id| self.open(*id)).collect();
         let able: BTreeMap<NodeId, f64> = ids.iter().map(|id| (*id, self.able(*id))).collect();
         let demand = self.zone_demand();
         let all: f64 = demand.values().sum();
         let scale = all / self.demand_total().max(1e-6);
-        let mut excess = (all - FULL * self.ease * able.values().sum::<f64>()).max(0.0);
+        let capacity: f64 = able.iter().map(|(id, able)| able.max(self.nodes[id].peak * PROVEN)).sum();
+        let mut excess = (all - FULL * self.ease * capacity).max(0.0);
         let mut shares: BTreeMap<OperationId, f64> = BTreeMap::new();
         let mut cheap: Vec<Operation> = self.operations.clone();
         cheap.sort_by(|a, b| a.value.total_cmp(&b.value));
--- a/crates/wheelspread/src/state.rs
+++ b/crates/wheelspread/src/state.rs
@@ -74,6 +74,8 @@
     pub capacity: Smooth,
     pub evidence: f64,
     pub carried: f64,
+    /// The most it lately served, a second; fades.
+    pub peak: f64,
     pub heard: Option<Moment>,
     pub news: Span,
     /// Sums not yet learnt from.
@@ -95,6 +97,7 @@
             capacity: Smooth::default(),
             evidence: 0.0,
             carried: 0.0,
+            peak: 0.0,
             heard: None,
             news: Span::ZERO,
             fresh: Work::default(),
