--- a/crates/wheelspread/src/balance.rs
+++ b/crates/wheelspread/src/balance.rs
@@ -1,19 +1,21 @@
 //! Every decision of wheelspread. Call `Balancer::start` with the settings, `hear` for each event of
 //! a moment and `settle` once at the end of that moment: it writes the orders that are due. Events
-//! and actions are in `interface.rs`, what is remembered in `state.rs`, settings in `facts.rs`.
+//! and actions are in `interface.rs`, what is remembered in `state.rs`, plain sums in `measure.rs`.
 //!
 //! The design (docs/design.md) decides the ordinary path: `targets` says where traffic should go,
 //! `plan` orders the way there so that no node gets more than its room while tables change.
 //! Six mechanisms stand beside it:
-//! 1. speed estimate: `learn`, `able`      4. overload admission: `admission`
+//! 1. speed estimate: `learn`, `able`      4. overload admission: `admit`, RETRY
 //! 2. node health: `judge`, STANDING       5. channel ledger: `may_write`, `outstanding`
-//! 3. cold guard: `cold_limit`, `urgent`   6. joining and restart recovery: `join`, `start`
+//! 3. cold guard: `cold_limit`, `guard`    6. joining and restart recovery: `join`, `urgent`, LIFE
 
 use crate::facts::{Fact, Facts};
 use crate::ids::*;
 use crate::interface::*;
+use crate::measure::{load, reaches, shares};
 use crate::pcg::Pcg;
 use crate::ring::Ring;
+pub use crate::state::Balancer;
 use crate::state::*;
 use crate::time::{Moment, Span};
 use std::collections::{BTreeMap, BTreeSet};
@@ -28,32 +30,32 @@
     Warmed,
 }
 
-/// What follows for the tables: at the next step, or at once.
+/// What becomes of what was measured at the node.
 #[derive(Clone, Copy, Debug, PartialEq)]
-enum Then {
-    Nothing,
-    Admit,
-    Chill,
-    Remove,
+enum Measures {
+    Keep,
+    Paths,
+    Forget,
 }
 
-const LIFE: &[(Life, Told, Life, Then)] = &[
-    (Life::Unlisted, Told::Steady, Life::Warm, Then::Admit),
-    (Life::Unlisted, Told::Fresh, Life::Cold, Then::Chill),
-    (Life::Unlisted, Told::Drains, Life::Draining, Then::Remove),
-    (Life::Cold, Told::Fresh, Life::Cold, Then::Chill),
-    (Life::Cold, Told::Warmed, Life::Warm, Then::Nothing),
-    (Life::Cold, Told::Drains, Life::Draining, Then::Remove),
-    (Life::Cold, Told::Dropped, Life::Unlisted, Then::Remove),
-    (Life::Warm, Told::Fresh, Life::Cold, Then::Chill),
-    (Life::Warm, Told::Drains, Life::Draining, Then::Remove),
-    (Life::Warm, Told::Dropped, Life::Unlisted, Then::Remove),
-    (Life::Draining, Told::Steady, Life::Warm, Then::Admit),
-    (Life::Draining, Told::Fresh, Life::Cold, Then::Chill),
-    (Life::Draining, Told::Dropped, Life::Unlisted, Then::Remove),
+// Tables drop nodes that are not open at once (`urgent`); the rest follows in steps (`plan`).
+const LIFE: &[(Life, Told, Life, Measures)] = &[
+    (Life::Unlisted, Told::Steady, Life::Warm, Measures::Paths),
+    (Life::Unlisted, Told::Fresh, Life::Cold, Measures::Forget),
+    (Life::Unlisted, Told::Drains, Life::Draining, Measures::Keep),
+    (Life::Cold, Told::Fresh, Life::Cold, Measures::Forget),
+    (Life::Cold, Told::Warmed, Life::Warm, Measures::Keep),
+    (Life::Cold, Told::Drains, Life::Draining, Measures::Keep),
+    (Life::Cold, Told::Dropped, Life::Unlisted, Measures::Paths),
+    (Life::Warm, Told::Fresh, Life::Cold, Measures::Forget),
+    (Life::Warm, Told::Drains, Life::Draining, Measures::Keep),
+    (Life::Warm, Told::Dropped, Life::Unlisted, Measures::Paths),
+    (Life::Draining, Told::Steady, Life::Warm, Measures::Paths),
+    (Life::Draining, Told::Fresh, Life::Cold, Measures::Forget),
+    (Life::Draining, Told::Dropped, Life::Unlisted, Measures::Paths),
 ];
 
-/// What a zone's proxies met at a node, and what follows for the node in that zone's tables.
+/// What a zone's proxies met at a node, and how long it then stays out of that zone's tables.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Met {
     Failing,
@@ -61,21 +63,22 @@
     HeldLong,
 }
 
-const STANDING: &[(Standing, Met, Standing, HoldFor)] = &[
-    (Standing::Clear, Met::Failing, Standing::Out, HoldFor::First),
-    (Standing::Out, Met::HeldLong, Standing::Trial, HoldFor::Same),
-    (Standing::Trial, Met::Failing, Standing::Out, HoldFor::Longer),
-    (Standing::Trial, Met::Working, Standing::Clear, HoldFor::Same),
-];
-
 #[derive(Clone, Copy, Debug, PartialEq)]
-enum HoldFor {
+enum Hold {
     First,
     Same,
     Longer,
 }
 
-/// Retry orders: repeat kind, whether repeats meet the same guard, strained; the order.
+const STANDING: &[(Standing, Met, Standing, Hold)] = &[
+    (Standing::Clear, Met::Failing, Standing::Out, Hold::First),
+    (Standing::Out, Met::HeldLong, Standing::Trial, Hold::Same),
+    (Standing::Trial, Met::Failing, Standing::Out, Hold::Longer),
+    (Standing::Trial, Met::Working, Standing::Clear, Hold::Same),
+];
+
+/// Retry orders: kind of operation, whether every repeat meets the same guard, strained; the order.
+/// Under strain repeats only add load, so they stop.
 const RETRY: &[(Repeat, bool, bool, Retry)] = &[
     (Repeat::Idempotent, true, false, Retry::OnceAfterAnyFailure),
     (Repeat::Fingerprinted, true, false, Retry::OnceAfterAnyFailure),
@@ -84,18 +87,14 @@
 ];
 
 const NEEDED: &[&str] = &[
-    "conductor.number",
     "conductor.count",
     "zone.count",
     "operation.count",
     "channel.lines_waiting_at_most",
-    "channel.lines_per_second",
     "channel.head_lines",
     "channel.delay_at_most",
     "proxy.count",
     "sums.period",
-    "rules.without_node_at_most",
-    "rules.drain_grace",
     "rules.cold_overload_factor",
     "rules.cold_start_share",
     "rules.warm_after",
@@ -105,147 +104,89 @@
 const ROOM_START: f64 = 1.5; // to a node's part of traffic (design)
 const ROOM_FRESH: f64 = 0.5; // to the same, for a cold node (design)
 const ROOM_RISE: f64 = 1.25; // to the most carried while latency held: how far a step may go beyond it
+const HELD: f64 = 0.5; // of the latency objective: mean times below it count as latency held
 const ACK_SHARE: f64 = 0.9; // of the proxies asked (design)
 const STEP_WAIT: f64 = 1.0; // seconds at most for those acks (design)
 const LINE_MOVES: f64 = 0.06; // to a line's weight: smaller changes are not sent
 const STEP_STARTS: f64 = 0.12; // to a line's weight: a change that starts a step by itself
+const WEIGHT_SUM: f64 = 100.0; // of a table that is written for the first time
+const DUST: f64 = 0.002; // of a table's traffic: smaller lines are left out
 const MEMORY: f64 = 6.0; // to the sums' period: how long measures are remembered
-const PRIOR: f64 = 3.0; // to the sums' period: what the kind's mean counts beside a node's own sums
+const STALE: f64 = 3.0; // to the sums' period: a path not heard of for longer has no rate
+const PEER_MEMORY: f64 = 12.0; // to the sums' period: how long a peer's note stands
+const PEER_PACE: f64 = 2.0; // sums' periods between two notes
+const PRIOR: f64 = 3.0; // full periods: what the kind's mean counts beside a node's own sums
+const EVIDENCE: f64 = 5.0; // invocations: as many weigh as half a full period
 const LEARN: f64 = 0.12; // of the distance to the fleet's time, each period
 const ERROR_COST: f64 = 2.0; // to the latency objective: what an errored try counts as
-const EVIDENCE: f64 = 5.0; // invocations: as many weigh as one full period
+const UNHEARD: f64 = 0.15; // of demand: with more of it out of reach, sums teach nothing
 const USUAL_LOAD: f64 = 0.6; // of capacity, assumed before anything is heard
 const COMFORT: f64 = 0.5; // of a zone's capacity: below it traffic stays at home
 const COMFORT_PRICE: f64 = 3.0; // to the price of crossing zones: how much later it leaves
-const PROVEN: f64 = 0.95; // of the most a node was lately seen to serve: it can do that again
+const COMFORT_OVER: f64 = 0.05; // of capacity, over the fleet's part
 const FULL: f64 = 0.88; // of capacity: what admission aims at under overload
+const PROVEN: f64 = 0.95; // of the most a node was lately seen to serve: it can do that again
 const STRAINED: f64 = 0.85; // of capacity: measured load above which admission may cut
-const LEAST_LEVEL: f64 = 0.3; // of an operation's traffic, before the next operation is cut
+const ERRING: f64 = 0.15; // of all tries: with more, the fleet is overrun whatever else is measured
+const EASE: (f64, f64, f64) = (0.85, 0.5, 0.04); // each cut that errors call for, the least, each return
+const EASE_WAITS: f64 = 3.0; // sums' periods between two such cuts
+const LEAST_LEVEL: [f64; 2] = [0.3, 0.02]; // of an operation's traffic, before the next one is cut
+const LEVEL_RISE: f64 = 0.05; // of an operation's traffic, each time levels are set
+const LEVEL_MOVES: f64 = 0.04; // to a level: smaller changes are not sent
 const COLD_GUARD: f64 = 0.5; // to the load over a whole window that would push a cold node over
 const FAILING: f64 = 0.45; // of tries, beyond twice what others meet
 const FEWEST_ERRORS: f64 = 3.0; // tries: fewer prove nothing
+const JUDGED_OVER: usize = 5; // sums' periods
+const OVERRUN: f64 = 0.7; // of the latency objective: errors of so slow a node are its load's
 const TRIAL_PART: f64 = 0.2; // to a node's usual weight
-const HOLD: f64 = 4.0; // to the sums' period plus the channel's longest delay
-const OUT_AT_MOST: f64 = 0.34; // of a zone's nodes: with more failing, no single node is to blame
+const HOLD: (f64, f64, f64) = (4.0, 1.5, 4.0); // to period plus longest delay; growth; at most, to the first
+const OUT_AT_MOST: f64 = 0.34; // of the nodes: with more failing, no single node is to blame
 const STEP_WRITES: f64 = 0.4; // of the messages allowed to a proxy
 const LEVEL_WRITES: f64 = 0.2; // the same, for admission
-const LEVEL_RISE: f64 = 0.05; // of an operation's traffic, each time levels are set
-const EASE_WAITS: f64 = 3.0; // sums' periods between two cuts that errors call for
-const ERRING: f64 = 0.15; // of all tries: with more, the fleet is overrun whatever else is measured
-const DRAIN_WRITES: f64 = 0.95; // the same, for what can't wait
+const GUARD_WRITES: f64 = 0.8; // the same, for a cold node's limit; drains and joins have the rest
 const STEP_LINES: f64 = 0.1; // of the lines that may wait in the channel
 const JOIN_LINES: f64 = 0.7; // the same, for joins
-const WEIGHT_SUM: f64 = 100.0; // of a table that is written for the first time
-
-pub struct Balancer {
-    facts: Facts,
-    random: Pcg,
-    now: Moment,
-    operations: Vec<Operation>,
-    nodes: BTreeMap<NodeId, Node>,
-    paths: BTreeMap<(ZoneId, NodeId), Path>,
-    proxies: BTreeMap<ProxyId, Proxy>,
-    tables: BTreeMap<TableId, Table>,
-    peers: BTreeMap<PeerId, PeerView>,
-    channel: Channel,
-    joins: BTreeSet<ProxyId>,
-    cut: Option<(TableId, f64)>,
-    let_in: BTreeMap<(TableId, OperationId), f64>,
-    ease: f64,
-    eased: Moment,
-    quickest: BTreeMap<KindId, f64>,
-    strained: bool,
-    heard: Moment,
-    moved: bool,
-    learnt: bool,
-    started: bool,
-    told_peers: Moment,
-    ticks: u64,
-    next_tick: Moment,
-}
-
-type Shares = BTreeMap<NodeId, f64>;
-type Orders = BTreeMap<TableId, Shares>;
 
 impl Balancer {
     pub fn start(now: Moment, seed: u64, facts: Facts) -> Result<Balancer, String> {
-        for name in NEEDED {
-            facts.number(name)?;
-        }
-        let mut operations = Vec::new();
-        for at in 0..facts.number("operation.count")?.clamp(0.0, 16.0) as u8 {
-            let name = |part: &str| format!("operation.{at}.{part}");
-            operations.push(Operation {
-                id: OperationId(at),
-                objective: Span::from_seconds(facts.number(&name("latency_objective"))?),
-                timeout: Span::from_seconds(facts.number(&name("integration_timeout"))?),
-                value: facts.number_or(&name("billed_value"), 1.0),
-                effect: match facts.text(&name("repeat"))? {
-                    "idempotent" => Repeat::Idempotent,
-                    "fingerprinted" => Repeat::Fingerprinted,
-                    _ => Repeat::SideEffecting,
-                },
-                group: facts.text(&name("repeat_group")).unwrap_or("").to_string(),
-                window: Span::from_seconds(facts.number_or(&name("repeat_window"), 0.0)),
-                stays: facts.flag_or(&name("stays_in_zone"), false),
-            });
-        }
-        let mut tables = BTreeMap::new();
-        for zone in 0..facts.number("zone.count")?.clamp(0.0, 1e4) as u16 {
-            for stays in [false, true] {
-                let own = operations.iter().filter(|o| o.stays == stays).map(|o| o.id).collect::<Vec<_>>();
-                let table = Table { zone: ZoneId(zone), stays, operations: own, ..Table::default() };
-                if !table.operations.is_empty() {
-                    tables.insert(TableId(2 * zone + u16::from(stays)), table);
-                }
-            }
-        }
-        let (nodes, paths, proxies) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
+        NEEDED.iter().try_for_each(|name| facts.number(name).map(drop))?;
+        let count = facts.number("operation.count")?.clamp(0.0, 16.0) as u8;
+        let operations = (0..count).map(|at| Operation::read(&facts, at)).collect::<Result<Vec<_>, _>>()?;
+        let tables = Table::all(&operations, facts.number("zone.count")?.clamp(0.0, 1e4) as u16);
+        let (let_in, cut) = Default::default();
+        let (nodes, paths, proxies, peers) = Default::default();
+        let (channel, joins, quickest) = Default::default();
         Ok(Balancer {
             random: Pcg::new(seed),
-            operations,
-            nodes,
-            paths,
-            proxies,
-            tables,
-            facts,
-            now,
-            peers: BTreeMap::new(),
-            channel: Channel::default(),
-            joins: BTreeSet::new(),
-            cut: None,
-            let_in: BTreeMap::new(),
-            ease: 1.0,
-            eased: now,
-            quickest: BTreeMap::new(),
-            strained: false,
+            admission: Admission { let_in, cut, ease: 1.0, eased: now, strained: false },
             heard: now,
+            news: false,
             moved: true,
-            learnt: false,
-            started: false,
             told_peers: now,
             ticks: 0,
             next_tick: now,
+            facts,
+            now,
+            operations,
+            nodes,
+            paths,
+            proxies,
+            tables,
+            peers,
+            channel,
+            joins,
+            quickest,
         })
     }
 
-    fn fact(&self, name: &str) -> f64 {
-        self.facts.number_or(name, 0.0)
-    }
-
-    fn period(&self) -> Span {
-        Span::from_seconds(self.fact("sums.period").clamp(0.05, 60.0))
-    }
-
     // ---- what is heard ----
 
     pub fn hear(&mut self, now: Moment, event: &Event) -> Result<(), String> {
         self.now = now;
+        event.check()?;
         match event {
             Event::List { kind, entries } => {
-                for entry in entries {
-                    self.listed(entry);
-                }
+                entries.iter().for_each(|entry| self.listed(entry));
                 if matches!(kind, ListKind::Cached | ListKind::Complete) {
                     let named: BTreeSet<NodeId> = entries.iter().map(|entry| entry.node).collect();
                     let dropped: Vec<_> = self.nodes.keys().filter(|n| !named.contains(n)).copied().collect();
@@ -259,56 +200,42 @@
                 self.joins.remove(proxy);
                 self.channel.sent.iter_mut().for_each(|sent| sent.waiting.retain(|p| p != proxy));
             }
-            Event::NodeSums { zone, node, tries, errored, latency, over, load } => {
-                let seconds = over.seconds();
-                if !(seconds > 0.0 && seconds < 600.0 && *errored <= *tries) {
-                    return Err(format!("sums over {seconds} s with {errored} of {tries} errored"));
-                }
-                self.node_sums(
-                    *zone,
-                    *node,
-                    Work { tries: *tries, errored: *errored, seconds: 0.0 },
-                    *latency,
-                    *over,
-                    load,
-                )?;
+            Event::NodeSums { zone, node, .. } => {
+                self.nodes.get(node).ok_or(format!("sums of unknown {node:?}"))?;
+                self.node_sums(*zone, *node, event);
             }
             Event::Offered { proxy, operation, count, over, .. } => {
                 let memory = self.period() * (MEMORY / 3.0);
                 let known = self.proxies.get_mut(proxy).ok_or(format!("load of unknown {proxy:?}"))?;
-                if !(over.seconds() > 0.0 && over.seconds() < 600.0) {
-                    return Err(format!("load counted over {} s", over.seconds()));
-                }
-                let demand = known.demand.entry(*operation).or_default();
-                demand.feed(count / over.seconds(), *over, memory);
+                known.demand.entry(*operation).or_default().feed(count / over.seconds(), *over, memory);
                 self.heard = now;
             }
             Event::Acked { proxy, mark, .. } => {
-                let Some(place) = self.channel.sent.iter().position(|sent| sent.mark == *mark) else {
-                    return Ok(());
-                };
-                // The channel is in order: what was sent before this message has left it.
-                self.channel.sent[place].waiting.remove(proxy);
-                self.channel.sent.iter_mut().take(place).for_each(|sent| sent.lines = 0.0);
+                if let Some(place) = self.channel.sent.iter().position(|sent| sent.mark == *mark) {
+                    // The channel is in order: what was sent before this message has left it.
+                    self.channel.sent[place].waiting.remove(proxy);
+                    self.channel.sent.iter_mut().take(place).for_each(|sent| sent.lines = 0.0);
+                }
             }
-            Event::PeerNote { from, bytes } => self.peer_note(*from, bytes)?,
-            Event::Probed { node, .. } => {
-                self.nodes.get(node).ok_or(format!("probe of unknown {node:?}"))?;
+            Event::PeerNote { from, bytes } => {
+                let view = PeerView::read(bytes, &self.tables, now);
+                self.peers.insert(*from, view.ok_or(format!("note of {} bytes", bytes.len()))?);
             }
-            Event::Timer { .. }
-            | Event::SliceOffered { .. }
-            | Event::SliceCharge { .. }
-            | Event::SliceLine { .. } => {}
+            Event::Probed { node, .. } => drop(self.nodes.get(node).ok_or(format!("unknown {node:?}"))?),
+            Event::Timer { .. } => {}
+            // Sites with slices are not decided yet.
+            Event::SliceOffered { .. } | Event::SliceCharge { .. } | Event::SliceLine { .. } => {}
         }
         Ok(())
     }
 
     fn listed(&mut self, entry: &ListEntry) {
         let known = self.nodes.get(&entry.node);
-        let young = entry.started.is_some_and(|at| self.now - at < self.warm_after());
-        let restarted = known.map_or(young, |node| {
-            young && (node.started != entry.started || matches!(node.life, Life::Unlisted | Life::Draining))
-        });
+        let young = entry.started.is_some_and(|at| self.now - at < self.span("rules.warm_after"));
+        let restarted = young
+            && known.is_none_or(|node| {
+                node.started != entry.started || matches!(node.life, Life::Unlisted | Life::Draining)
+            });
         let told = match entry.listing {
             Listing::Gone => Told::Dropped,
             Listing::Draining => Told::Drains,
@@ -316,114 +243,78 @@
             Listing::Ready => Told::Steady,
         };
         let weight = if entry.weight.is_finite() && entry.weight > 0.0 { entry.weight } else { 1.0 };
-        let (now, id) = (self.now, entry.node);
-        let node = self.nodes.entry(id).or_insert_with(|| Node::new(entry, now));
+        let now = self.now;
+        let node = self.nodes.entry(entry.node).or_insert_with(|| Node::new(entry, now));
         (node.zone, node.kind, node.cell, node.weight) = (entry.zone, entry.kind, entry.cell, weight);
         if entry.listing == Listing::Ready {
             node.started = entry.started;
         }
-        self.tell(id, told);
+        self.tell(entry.node, told);
     }
 
     fn tell(&mut self, id: NodeId, told: Told) {
         let Some(node) = self.nodes.get_mut(&id) else { return };
         let Some(row) = LIFE.iter().find(|row| row.0 == node.life && row.1 == told) else { return };
         (node.life, node.told, self.moved) = (row.2, self.now, true);
-        if row.3 == Then::Chill {
+        if row.3 == Measures::Forget {
             // A process that started anew is another one: nothing measured before speaks of it.
             (node.capacity, node.utilization, node.sojourn) = Default::default();
             (node.evidence, node.carried, node.peak) = (0.0, 0.0, 0.0);
         }
-        if row.3 != Then::Nothing {
+        if row.3 != Measures::Keep {
             self.paths.retain(|key, _| key.1 != id);
         }
     }
 
     fn joined(&mut self, id: ProxyId, zone: ZoneId, usual_rate: f64) {
         let window = self.fact("channel.messages_window").max(1.0);
-        let proxy = self.proxies.entry(id).or_insert_with(|| Proxy {
-            zone,
-            joined: true,
-            bound: false,
-            since: self.now,
-            demand: BTreeMap::new(),
-            written: Ring::new(Span::from_seconds(window / 20.0), 22),
-        });
-        (proxy.zone, proxy.joined, proxy.bound, proxy.since) = (zone, true, false, self.now);
-        proxy.written = Ring::new(Span::from_seconds(window / 20.0), 22);
-        if proxy.demand.is_empty() && usual_rate.is_finite() && usual_rate > 0.0 {
-            let part = usual_rate / self.operations.len().max(1) as f64;
-            for operation in &self.operations {
-                proxy.demand.entry(operation.id).or_default().set(Some(part));
-            }
-        }
+        // Two buckets more than the window: a message counts until it is surely outside.
+        let written = Ring::new(Span::from_seconds(window / 20.0), 22);
+        let known = self.proxies.remove(&id).map(|proxy| proxy.demand).filter(|demand| !demand.is_empty());
+        let usual = if usual_rate.is_finite() { usual_rate.max(0.0) } else { 0.0 };
+        let part = Smooth::at(usual / self.operations.len().max(1) as f64);
+        let demand = known.unwrap_or_else(|| self.operations.iter().map(|o| (o.id, part)).collect());
+        self.proxies.insert(id, Proxy { zone, joined: true, bound: false, since: self.now, demand, written });
         self.joins.insert(id);
     }
 
-    fn path(&mut self, zone: ZoneId, node: NodeId) -> &mut Path {
-        let (now, width) = (self.now, self.period());
-        self.paths.entry((zone, node)).or_insert_with(|| Path {
-            standing: Standing::Clear,
-            since: now,
-            hold: Span::ZERO,
-            rate: Smooth::default(),
-            served: Smooth::default(),
-            heard: now,
-            sums: Ring::new(width, 8),
-        })
-    }
-
-    fn node_sums(
-        &mut self,
-        zone: ZoneId,
-        id: NodeId,
-        work: Work,
-        latency: Span,
-        over: Span,
-        load: &[f64],
-    ) -> Result<(), String> {
-        let (now, period) = (self.now, self.period());
-        let memory = period * MEMORY;
-        let fields: Vec<String> = (0..load.len())
-            .map(|at| self.facts.text(&format!("report.field.{at}")).unwrap_or("").to_string())
-            .collect();
-        let node = self.nodes.get_mut(&id).ok_or(format!("sums of unknown {id:?}"))?;
-        let served = work.tries - work.errored;
-        if served > 0.0 && latency > Span::ZERO {
-            let covers = over * (served / (served + 2.0));
-            node.sojourn.feed(latency.seconds(), covers, memory * 0.5);
+    fn node_sums(&mut self, zone: ZoneId, id: NodeId, event: &Event) {
+        let Event::NodeSums { tries, errored, latency, over, load, .. } = event else { return };
+        let (now, period, memory) = (self.now, self.period(), self.period() * MEMORY);
+        let served = tries - errored;
+        let field = |at: usize| self.facts.text(&format!("report.field.{at}")).unwrap_or("");
+        let busy =
+            load.iter().enumerate().find(|(at, _)| field(*at) == "utilization").map(|(_, value)| *value);
+        let Some(node) = self.nodes.get_mut(&id) else { return };
+        if served > 0.0 && *latency > Span::ZERO {
+            let covers = *over * (served / (served + 2.0));
+            node.sojourn.feed(latency.seconds().min(60.0), covers, memory * 0.5);
         }
-        for (field, value) in fields.iter().zip(load).filter(|(_, value)| value.is_finite() && **value >= 0.0)
-        {
-            if field == "utilization" {
-                node.utilization.feed(value.min(1.0), over, memory * 0.5);
-            }
+        if let Some(busy) = busy.filter(|busy| *busy >= 0.0) {
+            node.utilization.feed(busy.min(1.0), *over, memory * 0.5);
         }
-        (node.heard, node.news) = (Some(now), node.news.max(over));
-        node.fresh.tries += work.tries;
-        node.fresh.errored += work.errored;
-        node.fresh.seconds += served * latency.seconds().clamp(0.0, 60.0);
-        let path = self.path(zone, id);
-        path.rate.feed(work.tries / over.seconds(), over, memory);
-        path.served.feed(served / over.seconds(), over, memory);
+        node.news = node.news.max(*over);
+        node.fresh +=
+            Work { tries: *tries, errored: *errored, seconds: served * latency.seconds().clamp(0.0, 60.0) };
+        let path = self.paths.entry((zone, id)).or_insert_with(|| Path::new(now, Ring::new(period, 8)));
+        path.rate.feed(tries / over.seconds(), *over, memory);
+        path.served.feed(served / over.seconds(), *over, memory);
         path.heard = now;
         // Evidence is as old as its period: sums from before a trial began say nothing of it.
-        let from = now - over - period * 0.5;
-        if path.standing != Standing::Trial || from > path.since {
-            path.sums.add(now, work);
+        if path.standing != Standing::Trial || now - *over - period * 0.5 > path.since {
+            path.sums.add(now, Work { tries: *tries, errored: *errored, seconds: 0.0 });
         }
-        (self.heard, self.learnt) = (now, false);
-        Ok(())
+        (self.heard, self.news) = (now, true);
     }
 
     // ---- mechanism 1: how much a node can do ----
 
-    fn warm_after(&self) -> Span {
-        Span::from_seconds(self.fact("rules.warm_after"))
+    fn peers_since(&self) -> Moment {
+        self.now - self.period() * PEER_MEMORY
     }
 
-    fn open(&self, id: NodeId) -> bool {
-        self.nodes.get(&id).is_some_and(|node| matches!(node.life, Life::Cold | Life::Warm))
+    fn rate_at(&self, id: NodeId) -> f64 {
+        self.own_rate(id, self.heard - self.period() * STALE) + self.peers_rate(id, self.peers_since())
     }
 
     /// How busy a node is, of 1. Where reports don't say, from how much longer its invocations take
@@ -431,8 +322,7 @@
     /// Queue lengths and service times don't serve here: they stay at nothing until it is too late.
     fn pressure(&self, node: &Node) -> Option<f64> {
         node.utilization.get().or_else(|| {
-            let quickest = *self.quickest.get(&node.kind)?;
-            let wait = (node.sojourn.get()? / quickest - 1.0).max(0.0) + 0.12;
+            let wait = (node.sojourn.get()? / self.quickest.get(&node.kind)? - 1.0).max(0.0) + 0.12;
             let y = 3.4 * wait.powf(0.65);
             Some(y / (1.0 + y))
         })
@@ -440,11 +330,11 @@
 
     /// The shortest mean time each kind has shown; forgotten slowly, as what all depend on may change.
     fn note_quickest(&mut self) {
-        let kinds: BTreeSet<KindId> = self.nodes.values().map(|node| node.kind).collect();
-        for kind in kinds {
-            let warm = self.nodes.values().filter(|node| node.kind == kind && node.life == Life::Warm);
-            let known = warm.filter(|node| node.evidence >= PRIOR).filter_map(|node| node.sojourn.get());
-            let mut known: Vec<f64> = known.collect();
+        let mut times: BTreeMap<KindId, Vec<f64>> = BTreeMap::new();
+        for node in self.nodes.values().filter(|n| n.life == Life::Warm && n.evidence >= PRIOR) {
+            times.entry(node.kind).or_default().extend(node.sojourn.get());
+        }
+        for (kind, mut known) in times {
             known.sort_by(f64::total_cmp);
             if let Some(middle) = known.get(known.len() / 2) {
                 let least = self.quickest.entry(kind).or_insert(*middle);
@@ -453,77 +343,55 @@
         }
     }
 
-    fn rate_at(&self, id: NodeId) -> f64 {
-        let stale = self.heard - self.period() * 3.0;
-        let own: f64 = self
-            .paths
-            .iter()
-            .filter(|(key, path)| key.1 == id && path.heard >= stale)
-            .filter_map(|(_, path)| path.served.get())
-            .sum();
-        own + self.told_by_peers(id)
-    }
-
-    fn told_by_peers(&self, id: NodeId) -> f64 {
-        self.peers.values().filter(|p| self.peer_fresh(p)).filter_map(|p| p.rates.get(&id)).sum()
-    }
-
-    fn peer_fresh(&self, peer: &PeerView) -> bool {
-        self.now - peer.heard < self.period() * 12.0
-    }
-
-    /// Reads new sums into the estimates. While a good part of the proxies is unheard the sums don't
-    /// show what a node really gets, so they teach nothing.
+    /// Reads new sums into the estimates: capacity is what is served at full utilization; where that
+    /// is not reported, nodes that take longer than the fleet does get less, in small steps. Sums that
+    /// show only a part of what nodes get, as while many proxies are unheard, teach nothing.
     fn learn(&mut self) {
-        if self.learnt || self.unheard() > 0.15 {
+        let alone = self.fact("conductor.count") <= 1.0;
+        let unheard = self.demand_by(|proxy| !proxy.joined) / self.demand_by(|_| true).max(1e-6);
+        if !std::mem::take(&mut self.news) || (alone && unheard > UNHEARD) {
             return;
         }
-        self.learnt = true;
         self.note_quickest();
-        let memory = self.period() * MEMORY;
-        let objective = self.objective();
-        let fade = (-self.period().seconds() / (memory.seconds() * 2.0)).exp();
-        let ids: Vec<NodeId> = self.nodes.keys().copied().filter(|id| self.open(*id)).collect();
-        let slow = objective.seconds() * ERROR_COST;
-        let each: BTreeMap<NodeId, (f64, f64)> = ids
-            .iter()
-            .filter_map(|id| {
-                let node = &self.nodes[id];
-                let base = self.quickest.get(&node.kind).copied().unwrap_or(objective.seconds()).sqrt();
-                let time = (node.fresh.seconds + node.fresh.errored * slow) / node.fresh.tries;
-                (node.fresh.tries > 0.0 && time > 0.0).then(|| (*id, (node.fresh.tries, (time / base).ln())))
-            })
-            .collect();
-        let tries: f64 = each.values().map(|(tries, _)| tries).sum();
-        let usual = each.values().map(|(tries, time)| tries * time).sum::<f64>() / tries.max(1.0);
-        for id in &ids {
-            let (rate, pressure) = (self.rate_at(*id), self.pressure(&self.nodes[id]));
-            let prior = (self.full(&self.nodes[id]) * self.warmth(&self.nodes[id])).max(1e-3).ln();
-            let Some(node) = self.nodes.get_mut(id) else { continue };
+        let (memory, objective) = (self.period() * MEMORY, self.objective());
+        let fade = (-0.5 / MEMORY).exp();
+        let time = |node: &Node| {
+            let base = self.quickest.get(&node.kind).copied().unwrap_or(objective).sqrt();
+            let all = node.fresh.seconds + node.fresh.errored * objective * ERROR_COST;
+            (all / node.fresh.tries.max(1.0) / base).max(1e-6).ln()
+        };
+        let times: BTreeMap<NodeId, f64> = self.nodes.iter().map(|(id, node)| (*id, time(node))).collect();
+        let weighed = |sum: (f64, f64), (id, node): (&NodeId, &Node)| {
+            (sum.0 + node.fresh.tries * times[id], sum.1 + node.fresh.tries)
+        };
+        let (sum, tries) = self.nodes.iter().fold((0.0, 0.0), weighed);
+        for id in self.open_nodes() {
+            let (rate, pressure) = (self.rate_at(id), self.pressure(&self.nodes[&id]));
+            let prior = (self.full(&self.nodes[&id]) * self.warmth(&self.nodes[&id])).max(1e-3).ln();
+            let Some(node) = self.nodes.get_mut(&id) else { continue };
+            // Little evidence weighs little, and old evidence fades, so a node that gets next to nothing
+            // because it was slow once is tried again.
             node.evidence *= fade;
-            node.peak = (node.peak * fade.powf(0.5)).max(rate);
+            node.peak = (node.peak * fade.sqrt()).max(rate);
             let (news, fresh) = (std::mem::take(&mut node.news), std::mem::take(&mut node.fresh));
             if fresh.tries <= 0.0 {
                 continue;
             }
-            // Little evidence weighs little, and old evidence fades, so a node that gets next to nothing
-            // because it was slow once is tried again.
             let weight = fresh.tries / (fresh.tries + EVIDENCE);
             node.evidence += 2.0 * weight;
-            let erring = fresh.errored / fresh.tries;
-            match (node.utilization.get().and(pressure), each.get(id)) {
+            match node.utilization.get().and(pressure) {
                 // A node that turns many tries away shows its queue, not its speed.
-                (Some(p), _) if p > 0.1 && rate > 0.0 && erring < 0.25 => {
-                    node.capacity.feed((rate / p).ln(), news * (2.0 * weight).min(1.0), memory);
+                Some(busy) if busy > 0.1 && rate > 0.0 && fresh.errored < fresh.tries * 0.25 => {
+                    node.capacity.feed((rate / busy).ln(), news * (2.0 * weight).min(1.0), memory);
                 }
-                (None, Some((_, time))) => {
+                Some(_) => {}
+                None => {
                     let old = node.capacity.get().unwrap_or(prior);
-                    let step = LEARN * weight * (usual - time).clamp(-1.0, 1.0);
-                    node.capacity.set(Some(old + step - 0.02 * (old - prior)));
+                    let step = LEARN * weight * (sum / tries - times[&id]).clamp(-1.0, 1.0);
+                    node.capacity = Smooth::at(old + step - 0.02 * (old - prior));
                 }
-                _ => {}
             }
-            if node.sojourn.get().is_some_and(|sojourn| sojourn < objective.seconds() * 0.5) {
+            if node.sojourn.get().is_some_and(|sojourn| sojourn < objective * HELD) {
                 node.carried = node.carried.max(rate);
             }
         }
@@ -533,59 +401,54 @@
     /// Without utilization a node's figure only compares it with the others; all of them together are
     /// held against what the fleet serves and how much longer that takes than at its quickest.
     fn scale(&mut self) {
-        let plain =
-            |node: &Node| node.utilization.get().is_none() && matches!(node.life, Life::Cold | Life::Warm);
-        let (mut rates, mut busy, mut sum) = (0.0, 0.0, 0.0);
-        for (id, node) in self.nodes.iter().filter(|(_, node)| plain(node)) {
-            if let (Some(pressure), Some(capacity)) = (self.pressure(node), node.capacity.get()) {
-                let rate = self.rate_at(*id);
-                (rates, busy, sum) = (rates + rate, busy + rate * pressure, sum + capacity.exp());
+        let (mut rates, mut busy, mut sum, mut plain) = (0.0, 0.0, 0.0, Vec::new());
+        for id in self.open_nodes() {
+            let node = &self.nodes[&id];
+            if let (None, Some(p), Some(c)) =
+                (node.utilization.get(), self.pressure(node), node.capacity.get())
+            {
+                let rate = self.rate_at(id);
+                (rates, busy, sum) = (rates + rate, busy + rate * p, sum + c.exp());
+                plain.push((id, c));
             }
         }
         if rates > 0.0 && busy > 0.0 {
             let shift = 0.2 * (rates * rates / busy / sum).ln().clamp(-1.0, 1.0);
-            for node in self.nodes.values_mut().filter(|node| plain(node)) {
-                let moved = node.capacity.get().map(|capacity| capacity + shift);
-                node.capacity.set(moved);
+            for (id, capacity) in plain {
+                self.nodes.entry(id).and_modify(|node| node.capacity = Smooth::at(capacity + shift));
             }
         }
     }
 
-    fn objective(&self) -> Span {
-        self.operations.iter().map(|o| o.objective).min().unwrap_or(Span::from_seconds(1.0))
-    }
-
-    /// Invocations a second for each unit of listed weight: the mean of the kind, or of the fleet.
-    fn by_weight(&self, kind: Option<KindId>) -> Option<f64> {
-        let (mut sum, mut weights) = (0.0, 0.0);
-        for node in self.nodes.values().filter(|node| kind.is_none_or(|kind| node.kind == kind)) {
-            if let Some(capacity) =
-                node.capacity.get().filter(|_| node.life == Life::Warm && node.evidence > PRIOR)
-            {
-                sum += capacity.exp();
-                weights += node.weight;
-            }
-        }
-        (weights > 0.0).then(|| sum / weights)
+    /// What `of` gives for each unit of listed weight, over the warm nodes of a kind, else of the fleet.
+    fn by_weight(&self, kind: KindId, of: impl Fn(&Node) -> Option<f64>) -> Option<f64> {
+        let mean = |counts: &dyn Fn(&Node) -> bool| {
+            let warm = self.nodes.values().filter(|node| node.life == Life::Warm && counts(node));
+            let known = warm.filter_map(|node| Some((of(node)?, node.weight)));
+            let (sum, weights) = known.fold((0.0, 0.0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
+            (weights > 0.0).then(|| sum / weights)
+        };
+        mean(&|node| node.kind == kind).or_else(|| mean(&|_| true))
     }
 
     /// What a warm node of this kind and listed weight does.
     fn full(&self, node: &Node) -> f64 {
-        let guess = || {
-            let weights: f64 =
-                self.nodes.values().filter(|n| n.life != Life::Unlisted).map(|n| n.weight).sum();
-            self.demand_total().max(1.0) / USUAL_LOAD / weights.max(1e-6)
-        };
-        let each = self.by_weight(Some(node.kind)).or_else(|| self.by_weight(None)).unwrap_or_else(guess);
+        let known = |n: &Node| n.capacity.get().filter(|_| n.evidence > PRIOR).map(f64::exp);
+        let each = self.by_weight(node.kind, known).unwrap_or_else(|| {
+            let weights: f64 = self.open_nodes().iter().map(|id| self.nodes[id].weight).sum();
+            self.demand_by(|_| true).max(1.0) / USUAL_LOAD / weights.max(1e-6)
+        });
         node.weight * each
     }
 
     /// The least share of its capacity that a node has by now.
     fn warmth(&self, node: &Node) -> f64 {
-        let (Life::Cold, Some(started)) = (node.life, node.started) else { return 1.0 };
         let start = self.fact("rules.cold_start_share").clamp(0.01, 1.0);
-        let age = (self.now - started).seconds().max(0.0) / self.warm_after().seconds().max(1e-3);
-        start + (1.0 - start) * age.min(1.0)
+        if node.life == Life::Cold {
+            start + (1.0 - start) * self.age(node)
+        } else {
+            1.0
+        }
     }
 
     /// Invocations a second that a node can do now.
@@ -594,71 +457,57 @@
         let prior = (self.full(node) * self.warmth(node)).max(1e-3);
         let own = node.capacity.get().unwrap_or(prior.ln());
         let mixed = (own * node.evidence + prior.ln() * PRIOR) / (node.evidence + PRIOR);
-        let able = mixed.exp().clamp(prior * 0.1, prior * 10.0);
-        if node.life == Life::Cold {
-            able.min(self.cold_limit(node))
-        } else {
-            able
-        }
+        mixed.exp().clamp(prior * 0.1, prior * 10.0)
     }
 
     // ---- mechanism 2: node health ----
 
-    /// Takes a node out of a zone's tables when it errs far more than the others do there, whatever
-    /// the cause (silent, failing fast, cut off from this zone only, full). When many nodes err alike
-    /// none is to blame and none is taken out. Harm: a node that is merely overloaded leaves its load
-    /// to the others, which the bound on nodes out keeps small.
+    /// Takes a node out of a zone's tables when most tries err there and not elsewhere, whatever the
+    /// cause (silent, failing fast, cut off from this zone only). When many nodes err alike none is to
+    /// blame and none is taken out; nor is one that answers slowly, as its errors are its load's and
+    /// its weight falls instead. Harm: the others carry more, which the bound on nodes out keeps small.
     fn judge(&mut self) {
-        let (now, period) = (self.now, self.period());
-        let first = (period + Span::from_seconds(self.fact("channel.delay_at_most"))) * HOLD;
-        let mut all = BTreeMap::<ZoneId, Work>::new();
-        for (key, path) in &self.paths {
-            *all.entry(key.0).or_default() += path.sums.last(now, 5);
-        }
-        let keys: Vec<_> = self.paths.keys().copied().collect();
-        for key in keys {
-            let nodes = self.nodes.iter().filter(|(id, _)| self.open(**id)).count() as f64;
+        let (now, nodes) = (self.now, self.open_nodes().len() as f64);
+        let first = (self.period() + self.span("channel.delay_at_most")) * HOLD.0;
+        for key in self.paths.keys().copied().collect::<Vec<_>>() {
+            let (path, recent) = (&self.paths[&key], self.met(JUDGED_OVER, |other| *other == key));
+            let zone = self.met(JUDGED_OVER, |other| other.0 == key.0);
             let out = self.paths.iter().filter(|(k, p)| k.0 == key.0 && p.standing == Standing::Out).count();
-            let path = &self.paths[&key];
-            let (recent, zone) = (path.sums.last(now, 5), all[&key.0]);
             let others = (zone.errored - recent.errored) / (zone.tries - recent.tries).max(1.0);
-            let bar = FAILING + 2.0 * others;
-            // Slow answers and errors together are a node with too much to do: its weight falls instead.
+            let served = recent.tries - recent.errored;
             let slow = self.nodes.get(&key.1).and_then(|node| node.sojourn.get());
-            let overrun = slow.is_some_and(|time| time > self.objective().seconds() * 0.7);
-            let overrun = overrun && recent.tries - recent.errored >= FEWEST_ERRORS;
-            let failing = recent.errored >= FEWEST_ERRORS && recent.errored > recent.tries * bar && !overrun;
+            let overrun =
+                served >= FEWEST_ERRORS && slow.is_some_and(|time| time > self.objective() * OVERRUN);
+            let mostly = recent.errored > recent.tries * (FAILING + 2.0 * others);
             let met = match path.standing {
-                Standing::Clear if failing && ((out + 1) as f64) < nodes * OUT_AT_MOST => Met::Failing,
+                Standing::Clear if overrun || (out + 1) as f64 >= nodes * OUT_AT_MOST => continue,
+                Standing::Clear if mostly && recent.errored >= FEWEST_ERRORS => Met::Failing,
                 Standing::Out if now - path.since > path.hold => Met::HeldLong,
-                Standing::Trial if recent.errored >= 2.0 && recent.errored > recent.tries * bar => {
-                    Met::Failing
-                }
-                Standing::Trial if recent.tries - recent.errored >= FEWEST_ERRORS => Met::Working,
+                Standing::Trial if mostly && recent.errored >= FEWEST_ERRORS - 1.0 => Met::Failing,
+                Standing::Trial if served >= FEWEST_ERRORS => Met::Working,
                 _ => continue,
             };
-            let jitter = 0.9 + 0.2 * self.random.unit();
-            if let Some(row) = STANDING.iter().find(|row| row.0 == self.paths[&key].standing && row.1 == met)
-            {
-                let path = self.path(key.0, key.1);
-                (path.standing, path.since) = (row.2, now);
-                path.sums = Ring::new(period, 8);
-                path.hold = match row.3 {
-                    HoldFor::First => first * jitter,
-                    HoldFor::Same => path.hold,
-                    HoldFor::Longer => (path.hold * 1.5).min(first * 4.0),
-                };
-                self.moved = true;
-            }
+            let Some(row) = STANDING.iter().find(|row| row.0 == path.standing && row.1 == met) else {
+                continue;
+            };
+            let hold = match row.3 {
+                Hold::First => first * (0.9 + 0.2 * self.random.unit()),
+                Hold::Same => path.hold,
+                Hold::Longer => (path.hold * HOLD.1).min(first * HOLD.2),
+            };
+            let fresh = Path::new(now, Ring::new(self.period(), 8));
+            self.paths.insert(key, Path { standing: row.2, hold, ..fresh });
+            self.moved = true;
         }
     }
 
+    /// The part of a node's capacity that a zone should use. What errs in part gets less: too little to
+    /// be taken out may still be too much to keep.
     fn usable(&self, zone: ZoneId, id: NodeId) -> f64 {
         let Some(path) = self.paths.get(&(zone, id)) else { return 1.0 };
-        let recent = path.sums.last(self.now, 5);
+        let recent = path.sums.last(self.now, JUDGED_OVER);
         let erring = (recent.errored - 1.0).max(0.0) / (recent.tries + 2.0);
         match path.standing {
-            // What errs in part gets less: too little to be taken out may still be too much to keep.
             Standing::Clear => (1.0 - erring).powi(2).max(0.05),
             Standing::Trial => TRIAL_PART,
             Standing::Out => 0.0,
@@ -671,82 +520,33 @@
     /// that bursts, retries and handshakes still fit. It goes by what warm nodes of its kind are seen to
     /// serve, never by an estimate of what they could. Also covers a fleet that is mostly cold.
     fn cold_limit(&self, node: &Node) -> f64 {
-        let proven = |kind: Option<KindId>| {
-            let like = self.nodes.iter().filter(|(_, n)| kind.is_none_or(|kind| n.kind == kind));
-            let warm = like.filter(|(_, n)| n.life == Life::Warm && n.peak > 0.0);
-            let (sum, weights) = warm.fold((0.0, 0.0), |sum, (_, n)| (sum.0 + n.peak, sum.1 + n.weight));
-            (weights > 0.0).then(|| sum / weights)
-        };
-        let each = proven(Some(node.kind)).or_else(|| proven(None));
-        let full = each.map_or(self.full(node) * USUAL_LOAD, |each| each * node.weight);
-        COLD_GUARD * self.fact("rules.cold_overload_factor") * self.warmth(node) * full.min(self.full(node))
-    }
-
-    // ---- load ----
-
-    fn demand(&self, proxy: &Proxy, operations: &[OperationId]) -> f64 {
-        operations.iter().filter_map(|o| proxy.demand.get(o).and_then(Smooth::get)).sum()
-    }
-
-    fn demand_total(&self) -> f64 {
-        let all: Vec<_> = self.operations.iter().map(|o| o.id).collect();
-        self.proxies.values().map(|proxy| self.demand(proxy, &all)).sum()
-    }
-
-    /// Share of what is known to come that comes to proxies out of reach.
-    fn unheard(&self) -> f64 {
-        let all: Vec<_> = self.operations.iter().map(|o| o.id).collect();
-        let gone = self.proxies.values().filter(|p| !p.joined).map(|p| self.demand(p, &all)).sum::<f64>();
-        if self.fact("conductor.count") > 1.0 {
-            return 0.0;
-        }
-        gone / self.demand_total().max(1e-6)
+        let proven = self.by_weight(node.kind, |n| Some(n.peak).filter(|peak| *peak > 0.0));
+        let full =
+            proven.map_or(self.full(node) * USUAL_LOAD, |each| each * node.weight).min(self.full(node));
+        COLD_GUARD * self.fact("rules.cold_overload_factor") * self.warmth(node) * full
     }
 
-    /// What the joined proxies of a table let in, a second.
-    fn traffic(&self, table: &Table) -> f64 {
-        let joined = self.proxies.values().filter(|p| p.joined && p.zone == table.zone);
-        let level = |o: &OperationId| table.levels.get(o).map_or(1.0, |level| level.0.min(1.0));
-        let share = self.level_is_share();
-        joined
-            .flat_map(|p| table.operations.iter().map(move |o| (p, o)))
-            .filter_map(|(p, o)| {
-                let demand = p.demand.get(o)?.get()?;
-                let quota = table.levels.get(o).map_or(f64::INFINITY, |level| level.0);
-                Some(if share { demand * level(o) } else { demand.min(quota) })
-            })
-            .sum()
-    }
-
-    fn level_is_share(&self) -> bool {
-        self.facts.text("level.form").is_ok_and(|form| form == "share")
-    }
-
-    /// How much more than the joined proxies' load there is: unheard proxies and other conductors.
-    fn beyond(&self) -> f64 {
-        let joined = self.proxies.values().filter(|proxy| proxy.joined).count();
-        (self.fact("proxy.count") / joined.max(1) as f64).max(1.0)
-    }
-
-    /// Demand by zone and by whether it stays there: own, unheard, and told by peers; where peers say
-    /// nothing, what is known stands for all.
-    fn zone_demand(&self) -> BTreeMap<(ZoneId, bool), f64> {
-        let mut sums = BTreeMap::new();
-        for table in self.tables.values() {
-            let known = self.proxies.values().filter(|p| p.zone == table.zone);
-            let own: f64 = known
-                .filter(|p| p.joined || self.fact("conductor.count") <= 1.0)
-                .map(|p| self.demand(p, &table.operations))
-                .sum();
-            let told: f64 = self
-                .peers
-                .values()
-                .filter(|peer| self.peer_fresh(peer))
-                .filter_map(|peer| peer.demand.get(&(table.zone, table.stays)))
-                .sum();
-            sums.insert((table.zone, table.stays), own + told);
+    /// Lowers a cold node's lines in `draft` until what they bring, with the tries of unheard proxies,
+    /// other conductors and repeats, stays within its limit.
+    fn guard(&self, draft: &mut Orders) {
+        let totals: BTreeMap<TableId, f64> =
+            self.tables.iter().map(|(id, t)| (*id, self.traffic(t))).collect();
+        let tries: f64 = self.paths.values().filter_map(|path| path.rate.get()).sum();
+        let repeated = (tries / totals.values().sum::<f64>().max(1e-6)).max(1.0) * self.beyond();
+        for (id, node) in self.nodes.iter().filter(|(_, node)| node.life == Life::Cold) {
+            let limit = self.cold_limit(node);
+            let limit = (limit - self.peers_rate(*id, self.peers_since())).max(limit * 0.3);
+            for _ in 0..4 {
+                let part = |lines: &Shares| lines.get(id).map_or(0.0, |w| w / lines.values().sum::<f64>());
+                let load: f64 =
+                    draft.iter().map(|(t, lines)| totals[t] * part(lines)).sum::<f64>() * repeated;
+                if load > limit {
+                    for lines in draft.values_mut().filter(|lines| lines.len() > 1) {
+                        lines.entry(*id).and_modify(|weight| *weight = (*weight * limit / load).max(1e-3));
+                    }
+                }
+            }
         }
-        sums
     }
 
     // ---- targets ----
@@ -754,146 +554,115 @@
     /// Shares of each table's traffic by node. Traffic stays in its zone up to a comfortable part of
     /// the zone's capacity, or somewhat above the fleet's part; the rest goes where there is spare.
     fn targets(&self) -> Orders {
-        let open: Vec<(NodeId, ZoneId, f64)> = self
-            .nodes
-            .iter()
-            .filter(|(id, _)| self.open(**id))
-            .map(|(id, node)| (*id, node.zone, self.able(*id)))
-            .collect();
-        let demand = self.zone_demand();
-        let zones: BTreeSet<ZoneId> =
-            open.iter().map(|o| o.1).chain(self.tables.values().map(|t| t.zone)).collect();
+        let open: Vec<(NodeId, ZoneId, f64)> =
+            self.open_nodes().iter().map(|id| (*id, self.nodes[id].zone, self.able(*id))).collect();
+        let demand = self.zone_demand(self.peers_since());
+        let asked = |zone: ZoneId, stays: bool| demand.get(&(zone, stays)).copied().unwrap_or(0.0);
         let capacity = |from: ZoneId, at: ZoneId| -> f64 {
             open.iter().filter(|o| o.1 == at).map(|o| o.2 * self.usable(from, o.0)).sum()
         };
-        let loads = |zone: ZoneId| -> (f64, f64) {
-            let get = |stays| demand.get(&(zone, stays)).copied().unwrap_or(0.0);
-            (get(false), get(true))
-        };
-        let own: BTreeMap<ZoneId, f64> = zones.iter().map(|z| (*z, capacity(*z, *z))).collect();
-        let total: f64 = demand.values().sum();
-        let part = total / own.values().sum::<f64>().max(1e-6);
-        let comfort = (COMFORT + COMFORT_PRICE * self.fact("price.cross_zone")).max(part + 0.05);
-        let spare = |zone: ZoneId| {
-            let (free, stays) = loads(zone);
-            (comfort * own[&zone] - free - stays).max(0.0)
-        };
+        let zones: BTreeSet<ZoneId> =
+            open.iter().map(|o| o.1).chain(self.tables.values().map(|t| t.zone)).collect();
+        let home: BTreeMap<ZoneId, f64> = zones.iter().map(|zone| (*zone, capacity(*zone, *zone))).collect();
+        let part = demand.values().sum::<f64>() / home.values().sum::<f64>().max(1e-6);
+        let comfort = (COMFORT + COMFORT_PRICE * self.fact("price.cross_zone")).max(part + COMFORT_OVER);
+        let over = |zone: ZoneId| asked(zone, false) + asked(zone, true) - comfort * home[&zone];
         let mut targets = Orders::new();
         for (id, table) in &self.tables {
-            let (free, stays) = loads(table.zone);
-            let home = own[&table.zone];
-            let mut weights = Shares::new();
-            let away = match (table.stays, home > 0.0) {
+            let others = zones.iter().filter(|zone| **zone != table.zone);
+            let reach: BTreeMap<ZoneId, (f64, f64)> =
+                others.map(|zone| (*zone, ((-over(*zone)).max(0.0), capacity(table.zone, *zone)))).collect();
+            let (spares, elsewhere) = reach.values().fold((0.0, 0.0), |sum, r| (sum.0 + r.0, sum.1 + r.1));
+            let own = home[&table.zone];
+            let away = match (table.stays || elsewhere <= 0.0, own > 0.0) {
                 (true, _) => 0.0,
                 (false, false) => 1.0,
-                (false, true) => ((free + stays - comfort * home).max(0.0) / free.max(1e-6)).min(1.0),
+                (false, true) => (over(table.zone) / asked(table.zone, false).max(1e-6)).clamp(0.0, 1.0),
             };
-            let others: BTreeMap<ZoneId, f64> =
-                zones.iter().filter(|z| **z != table.zone).map(|z| (*z, spare(*z))).collect();
-            let spares: f64 = others.values().sum();
-            let elsewhere: f64 = others.keys().map(|z| capacity(table.zone, *z)).sum();
-            let away = if elsewhere <= 0.0 { 0.0 } else { away };
-            for (node, zone, able) in &open {
+            let share = |(node, zone, able): &(NodeId, ZoneId, f64)| {
                 let able = able * self.usable(table.zone, *node);
-                let share = if *zone == table.zone {
-                    (1.0 - away) * able / home.max(1e-6)
-                } else if spares > 0.0 {
-                    away * others[zone] / spares * able / capacity(table.zone, *zone).max(1e-6)
-                } else {
-                    away * able / elsewhere.max(1e-6)
-                };
-                if share > 0.002 && !(table.stays && *zone != table.zone) {
-                    weights.insert(*node, share);
+                match reach.get(zone) {
+                    None => (1.0 - away) * able / own.max(1e-6),
+                    Some((spare, reached)) if spares > 0.0 => {
+                        away * spare / spares * able / reached.max(1e-6)
+                    }
+                    Some(_) => away * able / elsewhere.max(1e-6),
                 }
-            }
-            if weights.is_empty() {
+            };
+            let may = |o: &&(NodeId, ZoneId, f64)| !table.stays || o.1 == table.zone;
+            let mut lines: Shares = open.iter().filter(may).map(|o| (o.0, share(o))).collect();
+            lines.retain(|_, share| *share > DUST);
+            if lines.is_empty() {
                 // Nobody may be left without a node: with none in good standing, any open one will do.
-                let any = open.iter().filter(|o| !table.stays || o.1 == table.zone);
-                weights.extend(any.map(|o| (o.0, o.2.max(1e-6))));
+                lines = open.iter().filter(may).map(|o| (o.0, o.2.max(1e-6))).collect();
             }
-            let sum: f64 = weights.values().sum();
-            weights.values_mut().for_each(|share| *share /= sum.max(1e-9));
-            targets.insert(*id, weights);
+            targets.insert(*id, shares(&lines));
         }
         targets
     }
 
     // ---- the design: the order of updates ----
 
-    fn shares(lines: &Shares) -> Shares {
-        let sum: f64 = lines.values().sum();
-        lines.iter().map(|(id, weight)| (*id, weight / sum.max(1e-9))).collect()
-    }
-
     /// Room of a node: a part of traffic by listed weight, or the most it carried while latency held.
-    fn room(&self, id: NodeId, total: f64, weights: f64) -> f64 {
-        let Some(node) = self.nodes.get(&id) else { return 0.0 };
+    fn room(&self, node: &Node, each: f64) -> f64 {
         let fresh = if node.life == Life::Cold { ROOM_FRESH } else { 1.0 };
-        let part = total * node.weight / weights.max(1e-6);
-        (part * ROOM_START * fresh).max(node.carried * ROOM_RISE)
+        (each * node.weight * ROOM_START * fresh).max(node.carried * ROOM_RISE)
     }
 
-    /// One step of the way from what is published to `targets`, as the design orders it.
-    fn plan(&mut self, targets: &Orders) -> Orders {
-        self.cut = None;
-        let mut old = Orders::new();
-        let mut new = Orders::new();
+    /// One step of the way from what is published to `targets`, as the design orders it, written into
+    /// `draft`. Waits between tables follow from the loads: a table that adds to a node at risk waits
+    /// for those that lift load off it.
+    fn plan(&mut self, targets: &Orders, draft: &mut Orders) {
+        let scaled =
+            |lines: &Shares, traffic: f64| lines.iter().map(|(n, share)| (*n, share * traffic)).collect();
+        let (mut old, mut new) = (Orders::new(), Orders::new());
         for (id, table) in &self.tables {
             let traffic = self.traffic(table).max(1e-3);
-            let scaled = |shares: &Shares| shares.iter().map(|(n, s)| (*n, s * traffic)).collect::<Shares>();
-            old.insert(*id, scaled(&Self::shares(&table.lines)));
-            new.insert(*id, scaled(&targets[id]));
+            old.insert(*id, scaled(&shares(&draft[id]), traffic));
+            new.insert(*id, scaled(&targets[id], traffic));
         }
-        let at =
-            |orders: &Orders, table: TableId, node: NodeId| orders[&table].get(&node).copied().unwrap_or(0.0);
-        let moving: Vec<TableId> =
-            self.tables.keys().copied().filter(|t| self.worth_a_step(*t, targets)).collect();
-        let ids: Vec<NodeId> = self.nodes.keys().copied().collect();
-        let (total, weights) = self.open_totals();
-        let mut risk = BTreeSet::new();
-        let mut spare = Shares::new();
-        let mut tight = Shares::new();
-        for node in ids {
-            let (mut leaving, mut arriving, mut staying) = (0.0, 0.0, self.told_by_peers(node));
+        let weights: f64 = self.open_nodes().iter().map(|id| self.nodes[id].weight).sum();
+        let each = self.zone_demand(self.peers_since()).values().sum::<f64>() / weights.max(1e-6);
+        let (mut risk, mut spare, mut step) = (BTreeSet::new(), Shares::new(), new.clone());
+        for (id, node) in &self.nodes {
+            let (mut leaving, mut arriving, mut staying) =
+                (0.0, 0.0, self.peers_rate(*id, self.peers_since()));
             for table in self.tables.keys() {
-                let (before, after) = (at(&old, *table, node), at(&new, *table, node));
+                let (before, after) = (load(&old, *table, *id), load(&new, *table, *id));
                 leaving += (before - after).max(0.0);
                 arriving += (after - before).max(0.0);
                 staying += before.min(after);
             }
-            let room = self.room(node, total, weights);
-            spare.insert(node, room - leaving - staying);
+            let room = self.room(node, each);
+            spare.insert(*id, room - leaving - staying);
             if leaving + staying <= room && arriving + staying <= room && leaving + arriving + staying > room
             {
-                risk.insert(node);
+                risk.insert(*id);
             } else if arriving > 0.0 && arriving + staying > room {
                 // A weight that alone overfills room rises in steps within the spare room.
-                tight.insert(node, ((room - leaving - staying).max(0.0) / arriving).min(1.0));
-            }
-        }
-        let mut step = new.clone();
-        for (table, loads) in &mut step {
-            for (node, part) in &tight {
-                let before = at(&old, *table, *node);
-                if let Some(load) = loads.get_mut(node).filter(|load| **load > before) {
-                    *load = before + (*load - before) * part;
+                let part = ((room - leaving - staying).max(0.0) / arriving).min(1.0);
+                for (table, lines) in &mut step {
+                    let before = load(&old, *table, *id);
+                    lines
+                        .entry(*id)
+                        .and_modify(|after| *after = after.min(before + (*after - before).max(0.0) * part));
                 }
             }
         }
+        let moving: Vec<TableId> =
+            self.tables.keys().copied().filter(|t| worth_a_step(&draft[t], &targets[t])).collect();
         let adds = |table: TableId| -> Vec<(NodeId, f64)> {
-            let risky = risk.iter().map(|n| (*n, at(&step, table, *n) - at(&old, table, *n)));
-            risky.filter(|(_, more)| *more > 1e-9).collect()
+            let more = risk.iter().map(|n| (*n, load(&step, table, *n) - load(&old, table, *n)));
+            more.filter(|(_, more)| *more > 1e-9).collect()
         };
+        let lifts = |table: TableId, node: NodeId| load(&old, table, node) > load(&new, table, node) + 1e-9;
+        let on = |t: TableId| moving.iter().copied().filter(move |u| *u != t);
         let waits: BTreeMap<TableId, BTreeSet<TableId>> = moving
             .iter()
-            .map(|t| {
-                let lifts =
-                    |u: &TableId| adds(*t).iter().any(|(n, _)| at(&old, *u, *n) > at(&new, *u, *n) + 1e-9);
-                (*t, moving.iter().copied().filter(|u| u != t && lifts(u)).collect())
-            })
+            .map(|t| (*t, on(*t).filter(|u| adds(*t).iter().any(|(n, _)| lifts(*u, *n))).collect()))
             .collect();
-        let mut publish: BTreeMap<TableId, f64> = BTreeMap::new();
-        publish.extend(waits.iter().filter(|(_, on)| on.is_empty()).map(|(t, _)| (*t, 1.0)));
+        let free = waits.iter().filter(|(_, on)| on.is_empty());
+        let mut publish: BTreeMap<TableId, f64> = free.map(|(table, _)| (*table, 1.0)).collect();
         let mutual: Vec<TableId> = moving.iter().copied().filter(|t| reaches(&waits, *t, *t)).collect();
         let mut whole = false;
         for table in &mutual {
@@ -903,141 +672,67 @@
                 whole = true;
             }
         }
-        if !whole && !mutual.is_empty() {
-            let shift = |t: &TableId| {
-                let left: f64 = old[t].iter().map(|(n, load)| (load - at(&step, *t, *n)).max(0.0)).sum();
-                let least = adds(*t).iter().map(|(n, _)| spare[n]).fold(f64::INFINITY, f64::min);
-                (left.min(least), left)
-            };
-            let best = mutual.iter().map(|t| (shift(t), *t)).max_by(|a, b| a.0 .0.total_cmp(&b.0 .0));
-            if let Some(((able, left), table)) = best {
-                if able > left * 0.01 {
-                    publish.insert(table, (able / left).min(1.0));
-                } else if let Some((node, least)) =
-                    adds(table).iter().map(|(n, _)| (*n, spare[n])).min_by(|a, b| a.1.total_cmp(&b.1))
-                {
-                    // No room at all: the largest on that node's new path gives way, by the shortfall.
-                    let largest =
-                        self.tables.keys().max_by(|a, b| at(&new, **a, node).total_cmp(&at(&new, **b, node)));
-                    let shortfall = 0.1 * left - least;
-                    if let Some(largest) = largest {
-                        let traffic = self.traffic(&self.tables[largest]).max(1e-6);
-                        self.cut = Some((*largest, (1.0 - shortfall / traffic).clamp(0.5, 1.0)));
-                    }
+        let shift = |table: TableId| {
+            let left: f64 = old[&table].iter().map(|(n, l)| (l - load(&step, table, *n)).max(0.0)).sum();
+            let room = adds(table).iter().map(|(n, _)| (spare[n], *n)).min_by(|a, b| a.0.total_cmp(&b.0));
+            (left, room)
+        };
+        let possible = |table: &TableId| shift(*table).1.map_or(0.0, |room| shift(*table).0.min(room.0));
+        let largest = mutual.iter().copied().max_by(|a, b| possible(a).total_cmp(&possible(b)));
+        self.admission.cut = None;
+        if let (false, Some(table)) = (whole, largest) {
+            let (left, room) = shift(table);
+            if possible(&table) > left * 0.01 {
+                publish.insert(table, (possible(&table) / left).min(1.0));
+            } else if let Some((least, node)) = room {
+                // No room at all: the largest on that node's new path gives way, by the shortfall.
+                let path = |t: &&TableId| load(&new, **t, node);
+                if let Some(largest) = self.tables.keys().max_by(|a, b| path(a).total_cmp(&path(b))) {
+                    let traffic = self.traffic(&self.tables[largest]).max(1e-6);
+                    self.admission.cut =
+                        Some((*largest, (1.0 - (0.1 * left - least) / traffic).clamp(0.5, 1.0)));
                 }
             }
         }
-        let mut orders = Orders::new();
         for (table, part) in publish {
-            let goal: Shares = step[&table]
-                .keys()
-                .chain(old[&table].keys())
-                .map(|n| (*n, at(&old, table, *n) + part * (at(&step, table, *n) - at(&old, table, *n))))
-                .collect();
-            self.lines_to(table, &Self::shares(&goal), part >= 1.0, &mut orders);
-        }
-        orders
-    }
-
-    fn open_totals(&self) -> (f64, f64) {
-        let weights = self.nodes.iter().filter(|(id, _)| self.open(**id)).map(|(_, node)| node.weight).sum();
-        (self.zone_demand().values().sum(), weights)
-    }
-
-    fn worth_a_step(&self, table: TableId, targets: &Orders) -> bool {
-        let now = Self::shares(&self.tables[&table].lines);
-        let typical = 1.0 / targets[&table].len().max(1) as f64;
-        targets[&table].keys().chain(now.keys()).any(|n| {
-            let (a, b) = (now.get(n).copied().unwrap_or(0.0), targets[&table].get(n).copied().unwrap_or(0.0));
-            (a - b).abs() > STEP_STARTS * a.max(b).max(0.3 * typical) || (a > 0.0) != (b > 0.0)
-        })
-    }
-
-    /// Only the lines that change, in the scale of what stands in the table.
-    fn lines_to(&self, table: TableId, goal: &Shares, whole: bool, orders: &mut Orders) {
-        let lines = &self.tables[&table].lines;
-        let sum = if lines.is_empty() { WEIGHT_SUM } else { lines.values().sum::<f64>().clamp(1.0, 1e6) };
-        let typical = 1.0 / goal.len().max(1) as f64;
-        let changes = orders.entry(table).or_default();
-        for (node, share) in goal {
-            let (weight, before) = (share * sum, lines.get(node).copied().unwrap_or(0.0));
-            let dust = *share <= if whole { 1e-6 } else { 1e-4 };
-            if dust && before > 0.0 {
-                changes.insert(*node, 0.0);
-            } else if !dust
-                && (weight - before).abs() > LINE_MOVES * weight.max(before).max(0.3 * typical * sum)
-            {
-                changes.insert(*node, weight);
-            }
+            let toward = |n: &NodeId| {
+                let before = load(&old, table, *n);
+                (*n, before + part * (load(&step, table, *n) - before))
+            };
+            let goal: Shares = step[&table].keys().chain(old[&table].keys()).map(toward).collect();
+            let sum = draft[&table].values().sum::<f64>();
+            let sum = if sum > 0.0 { sum.clamp(1.0, 1e6) } else { WEIGHT_SUM };
+            let mut lines: Shares = shares(&goal).into_iter().map(|(n, share)| (n, share * sum)).collect();
+            lines.retain(|_, weight| *weight > sum * DUST * 0.05);
+            draft.insert(table, lines);
         }
     }
 
     // ---- what can't wait ----
 
-    /// Drained and gone nodes leave at once, cold ones fall to their limit, and no table is left empty.
-    fn urgent(&self, targets: &Orders) -> Orders {
-        let mut orders = Orders::new();
-        let totals: BTreeMap<TableId, f64> =
-            self.tables.iter().map(|(id, t)| (*id, self.traffic(t))).collect();
-        let mut after: Orders = self.tables.iter().map(|(id, table)| (*id, table.lines.clone())).collect();
-        for (id, lines) in &mut after {
-            let closed: Vec<NodeId> = lines.keys().copied().filter(|n| !self.open(*n)).collect();
-            for node in closed {
-                lines.remove(&node);
-                orders.entry(*id).or_default().insert(node, 0.0);
-            }
+    /// Drained and gone nodes leave at once, and no table is left empty.
+    fn urgent(&self, targets: &Orders, draft: &mut Orders) {
+        for (id, lines) in draft {
+            lines.retain(|node, _| self.open(*node));
             if lines.is_empty() {
-                let fill: Shares = targets[id].iter().map(|(n, share)| (*n, share * WEIGHT_SUM)).collect();
-                orders.entry(*id).or_default().extend(fill.clone());
-                *lines = fill;
+                *lines = targets[id].iter().map(|(node, share)| (*node, share * WEIGHT_SUM)).collect();
             }
         }
-        // Proxies that try again bring more tries than they let in.
-        let tries: f64 = self.paths.values().filter_map(|path| path.rate.get()).sum();
-        let repeated = (tries / totals.values().sum::<f64>().max(1e-6)).max(1.0);
-        for (id, node) in self.nodes.iter().filter(|(_, node)| node.life == Life::Cold) {
-            let load: f64 = after
-                .iter()
-                .filter_map(|(t, lines)| Some(totals[t] * lines.get(id)? / lines.values().sum::<f64>()))
-                .sum();
-            let load = load * self.beyond() * repeated + self.told_by_peers(*id);
-            let limit = self.cold_limit(node);
-            if load <= limit * 1.05 {
-                continue;
-            }
-            for (table, lines) in &mut after {
-                let others: f64 = lines.iter().filter(|(n, _)| *n != id).map(|(_, w)| w).sum();
-                if let Some(weight) = lines.get_mut(id).filter(|_| others > 0.0) {
-                    *weight *= limit / load;
-                    orders.entry(*table).or_default().insert(*id, *weight);
-                }
-            }
-        }
-        orders.retain(|_, lines| !lines.is_empty());
-        orders
     }
 
     // ---- mechanism 4: overload admission ----
 
-    /// Tries of the last few periods, all zones and nodes together.
-    fn met(&self) -> Work {
-        let mut sum = Work::default();
-        self.paths.values().for_each(|path| sum += path.sums.last(self.now, 2));
-        sum
-    }
-
     /// Mean load of a zone's nodes, or all, by the tries they get, of 1; full when many tries err.
     fn strain(&self, zone: Option<ZoneId>) -> f64 {
         let (mut sum, mut rates) = (0.0, 0.0);
         for ((_, id), path) in self.paths.iter().filter(|(key, _)| self.open(key.1)) {
             let node = &self.nodes[id];
-            let Some(pressure) = self.pressure(node).filter(|_| zone.is_none_or(|z| z == node.zone)) else {
-                continue;
-            };
-            let rate = path.rate.get().unwrap_or(0.0);
-            (sum, rates) = (sum + rate * pressure, rates + rate);
+            if let Some(pressure) = self.pressure(node).filter(|_| zone.is_none_or(|z| z == node.zone)) {
+                let rate = path.rate.get().unwrap_or(0.0);
+                (sum, rates) = (sum + rate * pressure, rates + rate);
+            }
         }
-        let met = self.met();
+        let met = self.met(2, |_| true);
         if zone.is_none() && met.errored > met.tries * ERRING {
             return 1.0;
         }
@@ -1047,106 +742,86 @@
     /// Shares to let in, by table and operation. What is asked beyond capacity is turned away at the
     /// door, the operations of least billed value first. Covers overload, lost nodes, and whatever
     /// slows all nodes at once. Harm: an estimate too low turns away too much, so nothing is cut unless
-    /// measured load or errors confirm it, and `ease` follows the errors rather than the estimate.
-    fn admission(&mut self) {
+    /// measured load or errors confirm it, never below what nodes were lately seen to serve, and `ease`
+    /// follows the errors rather than the estimate.
+    fn admit(&mut self) {
         let strain = self.strain(None);
-        let strained = strain >= STRAINED;
         // The effect of a cut shows only when sums from after it arrive, so each cut waits for them.
         if strain < 1.0 {
-            self.ease = (self.ease + 0.04).min(1.0);
-        } else if self.now - self.eased > self.period() * EASE_WAITS {
-            (self.ease, self.eased) = ((self.ease * 0.85).max(0.5), self.now);
+            self.admission.ease = (self.admission.ease + EASE.2).min(1.0);
+        } else if self.now - self.admission.eased > self.period() * EASE_WAITS {
+            self.admission.ease = (self.admission.ease * EASE.0).max(EASE.1);
+            self.admission.eased = self.now;
         }
-        let ids: Vec<NodeId> = self.nodes.keys().copied().filter(|id| self.open(*id)).collect();
-        let able: BTreeMap<NodeId, f64> = ids.iter().map(|id| (*id, self.able(*id))).collect();
-        let demand = self.zone_demand();
+        self.admission.strained = strain >= STRAINED;
+        let nodes = self.open_nodes();
+        let demand = self.zone_demand(self.peers_since());
         let all: f64 = demand.values().sum();
-        let scale = all / self.demand_total().max(1e-6);
-        let capacity: f64 = able.iter().map(|(id, able)| able.max(self.nodes[id].peak * PROVEN)).sum();
-        let mut excess = (all - FULL * self.ease * capacity).max(0.0);
-        let mut shares: BTreeMap<OperationId, f64> = BTreeMap::new();
-        let mut cheap: Vec<Operation> = self.operations.clone();
-        cheap.sort_by(|a, b| a.value.total_cmp(&b.value));
-        for least in [LEAST_LEVEL, 0.02] {
-            for operation in &cheap {
-                let asked: f64 =
-                    self.proxies.values().map(|p| self.demand(p, &[operation.id])).sum::<f64>() * scale;
-                let share = shares.entry(operation.id).or_insert(1.0);
-                let cut = excess.min(asked * (*share - least).max(0.0));
-                excess -= cut;
-                *share -= cut / asked.max(1e-6);
-            }
+        let capacity: f64 = nodes.iter().map(|id| self.able(*id).max(self.nodes[id].peak * PROVEN)).sum();
+        let mut excess = (all - FULL * self.admission.ease * capacity).max(0.0);
+        let scale = all / self.demand_by(|_| true).max(1e-6);
+        let mut cheap: Vec<(f64, OperationId)> = self.operations.iter().map(|o| (o.value, o.id)).collect();
+        cheap.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let mut shares: BTreeMap<OperationId, f64> = cheap.iter().map(|(_, id)| (*id, 1.0)).collect();
+        for (least, (_, id)) in LEAST_LEVEL.iter().flat_map(|least| cheap.iter().map(move |c| (least, c))) {
+            let asked: f64 = self.proxies.values().map(|p| self.demand(p, &[*id])).sum::<f64>() * scale;
+            let cut = excess.min(asked * (shares[id] - least).max(0.0));
+            excess -= cut;
+            shares.entry(*id).and_modify(|share| *share -= cut / asked.max(1e-6));
         }
         for (id, table) in &self.tables {
+            let local = table.stays && self.strain(Some(table.zone)) >= STRAINED;
+            let own = nodes.iter().filter(|n| self.nodes[n].zone == table.zone);
+            let able: f64 = own.map(|n| self.able(*n)).sum();
+            let most = able / demand[&(table.zone, table.stays)].max(1e-6);
             for operation in &table.operations {
-                let before = self.let_in.get(&(*id, *operation)).copied().unwrap_or(1.0);
-                let mut share = shares[operation];
-                let mut strained = strained;
-                if table.stays && self.strain(Some(table.zone)) >= STRAINED {
-                    strained = true;
-                    let nodes = ids.iter().filter(|n| self.nodes[n].zone == table.zone);
-                    let able: f64 = nodes.map(|n| able[n]).sum();
-                    let asked = demand[&(table.zone, true)];
-                    share = share.min(if asked > able && able > 0.0 { able / asked } else { 1.0 });
-                }
-                share =
-                    if strained { share.min(before + LEVEL_RISE) } else { share.max(before + LEVEL_RISE) };
-                self.let_in.insert((*id, *operation), share.clamp(0.02, 1.0));
+                let before = self.admission.let_in.get(&(*id, *operation)).copied().unwrap_or(1.0);
+                let share = if local && able > 0.0 { shares[operation].min(most) } else { shares[operation] };
+                let rise = before + LEVEL_RISE;
+                let share = if self.admission.strained || local { share.min(rise) } else { share.max(rise) };
+                self.admission.let_in.insert((*id, *operation), share.clamp(LEAST_LEVEL[1], 1.0));
             }
         }
-        self.strained = strained;
     }
 
     fn level(&self, id: TableId, operation: OperationId) -> (f64, Retry) {
-        let share = self.let_in.get(&(id, operation)).copied().unwrap_or(1.0);
-        let share = share * self.cut.filter(|cut| cut.0 == id).map_or(1.0, |cut| cut.1);
-        let quota =
-            if share > 0.97 { self.no_quota() } else { self.quota(&self.tables[&id], operation, share) };
-        (quota, self.retry(&self.operations[usize::from(operation.0)], self.strained))
-    }
-
-    fn no_quota(&self) -> f64 {
-        if self.level_is_share() {
-            1.0
-        } else {
-            1e6
-        }
+        let share = self.admission.let_in.get(&(id, operation)).copied().unwrap_or(1.0);
+        let share = share * self.admission.cut.filter(|cut| cut.0 == id).map_or(1.0, |cut| cut.1);
+        let known = &self.operations[usize::from(operation.0)];
+        (self.quota(&self.tables[&id], operation, share), self.retry(known))
     }
 
     /// A share as the settings want it said. As a rate at each proxy it is the one rate under which
     /// the table's proxies, unequal in size, let in that share together.
     fn quota(&self, table: &Table, operation: OperationId, share: f64) -> f64 {
-        if self.level_is_share() {
-            return (share * 50.0).round() / 50.0;
+        match (self.level_is_share(), share > 0.97) {
+            (true, true) => return 1.0,
+            (true, false) => return share,
+            (false, true) => return 1e6,
+            (false, false) => {}
         }
-        let mut asked: Vec<f64> = self
-            .proxies
-            .values()
-            .filter(|p| p.joined && p.zone == table.zone)
-            .map(|p| self.demand(p, &[operation]))
-            .collect();
+        let own = self.proxies.values().filter(|p| p.joined && p.zone == table.zone);
+        let mut asked: Vec<f64> = own.map(|proxy| self.demand(proxy, &[operation])).collect();
         asked.sort_by(f64::total_cmp);
         let (mut left, mut count) = (asked.iter().sum::<f64>() * share, asked.len());
         for rate in asked {
             if rate * count as f64 >= left {
                 return (left / count as f64).max(0.1);
             }
-            left -= rate;
-            count -= 1;
+            (left, count) = (left - rate, count - 1);
         }
-        self.no_quota()
+        1e6
     }
 
-    /// Rule 2: a repeat after any failure only where it can't take effect twice. Under strain repeats
-    /// only add load, so they stop.
-    fn retry(&self, operation: &Operation, strained: bool) -> Retry {
+    /// Rule 2: a repeat after any failure only where it can't take effect twice.
+    fn retry(&self, operation: &Operation) -> Retry {
         let guarded = match operation.effect {
             Repeat::Idempotent => true,
             Repeat::Fingerprinted => operation.group == "all" && operation.window > operation.timeout,
             Repeat::SideEffecting => false,
         };
-        let row = RETRY.iter().find(|row| (row.0, row.1, row.2) == (operation.effect, guarded, strained));
-        row.map_or(Retry::Never, |row| row.3)
+        let case = (operation.effect, guarded, self.admission.strained);
+        RETRY.iter().find(|row| (row.0, row.1, row.2) == case).map_or(Retry::Never, |row| row.3)
     }
 
     // ---- mechanism 5: channel ledger ----
@@ -1159,43 +834,45 @@
             || joined.map(|proxy| proxy.written.whole(self.now)).fold(0.0, f64::max) + 1.0 <= cap * part
     }
 
+    /// The least time between two writings that keep to a part of the cap.
+    fn pace(&self, part: f64) -> Span {
+        let cap = self.fact("channel.messages_at_most");
+        let pace = if cap > 0.0 { self.fact("channel.messages_window") / (cap * part) } else { 0.0 };
+        self.period().max(Span::from_seconds(pace))
+    }
+
+    fn answered(sent: &Sent) -> bool {
+        sent.waiting.len() as f64 <= sent.asked as f64 * (1.0 - ACK_SHARE)
+    }
+
     /// Lines that may still wait in the channel, by the acks: a slow channel shows in them at once.
     fn outstanding(&self) -> f64 {
-        let answered = |sent: &Sent| sent.waiting.len() as f64 <= sent.asked as f64 * (1.0 - ACK_SHARE);
-        self.channel.sent.iter().filter(|sent| !answered(sent)).map(|sent| sent.lines).sum()
+        self.channel.sent.iter().filter(|sent| !Self::answered(sent)).map(|sent| sent.lines).sum()
     }
 
     fn step_due(&self) -> bool {
         let lines = self.outstanding() <= STEP_LINES * self.fact("channel.lines_waiting_at_most");
-        let answered = self.channel.sent.iter().rev().find(|sent| sent.step).is_none_or(|sent| {
-            sent.waiting.len() as f64 <= sent.asked as f64 * (1.0 - ACK_SHARE)
-                || self.now - sent.at >= Span::from_seconds(STEP_WAIT)
-        });
-        let cap = self.fact("channel.messages_at_most");
-        let pace = if cap > 0.0 { self.fact("channel.messages_window") / (cap * STEP_WRITES) } else { 0.0 };
-        let pace = if self.moved { self.period() * 0.2 } else { self.period().max(Span::from_seconds(pace)) };
-        lines && answered && self.channel.last_step.is_none_or(|at| self.now - at >= pace)
+        let last = self.channel.sent.iter().rev().find(|sent| sent.step);
+        let waited = |sent: &Sent| self.now - sent.at >= Span::from_seconds(STEP_WAIT);
+        let pace = if self.moved { self.period() * 0.2 } else { self.pace(STEP_WRITES) };
+        let paced = self.channel.last_step.is_none_or(|at| self.now - at >= pace);
+        lines && paced && last.is_none_or(|sent| Self::answered(sent) || waited(sent))
     }
 
     // ---- what goes out ----
 
     pub fn settle(&mut self, now: Moment, out: &mut Vec<Action>) {
         self.now = now;
-        if !self.started {
-            self.started = true;
-            out.push(Action::ReadList);
-        }
-        let warmed: Vec<NodeId> = self
-            .nodes
-            .iter()
-            .filter(|(_, n)| n.life == Life::Cold && n.started.is_none_or(|at| now - at >= self.warm_after()))
-            .map(|(id, _)| *id)
-            .collect();
+        let cold = |node: &Node| node.life == Life::Cold && self.age(node) >= 1.0;
+        let warmed: Vec<NodeId> =
+            self.nodes.iter().filter(|(_, node)| cold(node)).map(|(id, _)| *id).collect();
         warmed.into_iter().for_each(|id| self.tell(id, Told::Warmed));
+        if self.ticks == 0 {
+            out.push(Action::ReadList); // after a restart the first list is a stale one
+        }
         if now >= self.next_tick {
-            let wait = (self.period() * 0.25).max(Span::from_seconds(self.fact("conductor.tick")));
-            self.next_tick = now + wait;
-            self.ticks += 1;
+            let wait = (self.period() * 0.25).max(self.span("conductor.tick"));
+            (self.next_tick, self.ticks) = (now + wait, self.ticks + 1);
             out.push(Action::SetTimer { after: wait, timer: TimerId(self.ticks) });
         } else if self.joins.is_empty() && !self.moved {
             return;
@@ -1204,19 +881,16 @@
         self.learn();
         self.judge();
         let targets = self.targets();
+        let mut draft: Orders = self.tables.iter().map(|(id, table)| (*id, table.lines.clone())).collect();
+        self.urgent(&targets, &mut draft);
         let mut lines: BTreeMap<TableId, usize> = BTreeMap::new();
-        let mut step = false;
-        if self.may_write(DRAIN_WRITES) {
-            let orders = self.urgent(&targets);
-            self.publish(&orders, &mut lines, out);
-        }
-        if self.step_due() && self.may_write(STEP_WRITES + LEVEL_WRITES) {
-            let orders = self.plan(&targets);
-            step = orders.values().any(|lines| !lines.is_empty());
-            self.publish(&orders, &mut lines, out);
-            self.channel.last_step = Some(now);
-            self.moved = false;
+        let step = self.step_due() && self.may_write(STEP_WRITES + LEVEL_WRITES);
+        if step {
+            self.plan(&targets, &mut draft);
+            (self.channel.last_step, self.moved) = (Some(now), false);
         }
+        self.guard(&mut draft);
+        self.publish(&draft, &mut lines, out);
         self.publish_levels(&mut lines, out);
         let (joined, join_lines) = self.join(out);
         self.register(&lines, &joined, join_lines, step, out);
@@ -1224,40 +898,45 @@
     }
 
     fn forget(&mut self) {
-        let (now, long) = (self.now, self.warm_after() * 10.0);
-        while self.channel.sent.front().is_some_and(|sent| now - sent.at > Span::from_seconds(20.0)) {
-            self.channel.sent.pop_front();
-        }
+        let (now, long) = (self.now, self.span("rules.warm_after") * 10.0);
+        self.channel.sent.retain(|sent| now - sent.at < Span::from_seconds(20.0));
         let held: BTreeSet<NodeId> = self.tables.values().flat_map(|t| t.lines.keys().copied()).collect();
         self.nodes.retain(|id, n| n.life != Life::Unlisted || held.contains(id) || now - n.told < long);
         self.proxies.retain(|_, proxy| proxy.joined || now - proxy.since < long);
     }
 
-    fn publish(&mut self, orders: &Orders, lines: &mut BTreeMap<TableId, usize>, out: &mut Vec<Action>) {
-        for (id, changes) in orders {
-            let Some(table) = self.tables.get_mut(id) else { continue };
-            for (node, weight) in changes {
-                let weight = if *weight > 0.0 { f64::from((*weight as f32).max(1e-4)) } else { 0.0 };
-                if weight > 0.0 {
-                    table.lines.insert(*node, weight);
+    /// Sends the lines by which `draft` differs from what stands. A removal always goes; a weight only
+    /// when it moved enough.
+    fn publish(&mut self, draft: &Orders, lines: &mut BTreeMap<TableId, usize>, out: &mut Vec<Action>) {
+        let lower = self.may_write(GUARD_WRITES);
+        for (id, table) in &mut self.tables {
+            let goal = &draft[id];
+            let typical = goal.values().sum::<f64>() / goal.len().max(1) as f64;
+            let nodes: BTreeSet<NodeId> = table.lines.keys().chain(goal.keys()).copied().collect();
+            for node in nodes {
+                let old = table.lines.get(&node).copied().unwrap_or(0.0);
+                let new = goal.get(&node).map_or(0.0, |weight| f64::from(*weight as f32));
+                let moves = (new - old).abs() > LINE_MOVES * new.max(old).max(0.3 * typical);
+                if (new > 0.0 && !(moves && (lower || old == 0.0))) || new == old {
+                    continue;
+                }
+                if new > 0.0 {
+                    table.lines.insert(node, new);
                 } else {
-                    table.lines.remove(node);
+                    table.lines.remove(&node);
                 }
-                out.push(Action::SetLine { table: *id, node: *node, weight });
+                out.push(Action::SetLine { table: *id, node, weight: new });
                 *lines.entry(*id).or_default() += 1;
             }
         }
     }
 
     fn publish_levels(&mut self, lines: &mut BTreeMap<TableId, usize>, out: &mut Vec<Action>) {
-        let cap = self.fact("channel.messages_at_most");
-        let pace = if cap > 0.0 { self.fact("channel.messages_window") / (cap * LEVEL_WRITES) } else { 0.0 };
-        let pace = self.period().max(Span::from_seconds(pace));
-        if self.channel.last_levels.is_some_and(|at| self.now - at < pace) {
+        if self.channel.last_levels.is_some_and(|at| self.now - at < self.pace(LEVEL_WRITES)) {
             return;
         }
         self.channel.last_levels = Some(self.now);
-        self.admission();
+        self.admit();
         if lines.is_empty() && !self.may_write(LEVEL_WRITES + STEP_WRITES) {
             return;
         }
@@ -1265,9 +944,8 @@
         for (id, operation) in all.collect::<Vec<_>>() {
             let (quota, retry) = self.level(id, operation);
             let Some(table) = self.tables.get_mut(&id) else { continue };
-            let same =
-                |old: &(f64, Retry)| (old.0 - quota).abs() <= 0.04 * old.0.max(quota) && old.1 == retry;
-            if !table.levels.get(&operation).is_some_and(same) {
+            let near = |old: f64| (old - quota).abs() <= LEVEL_MOVES * old.max(quota);
+            if !table.levels.get(&operation).is_some_and(|old| near(old.0) && old.1 == retry) {
                 table.levels.insert(operation, (quota, retry));
                 out.push(Action::SetLevel { table: Some(id), operations: vec![operation], quota, retry });
                 *lines.entry(id).or_default() += 1;
@@ -1277,130 +955,85 @@
 
     // ---- mechanism 6: joining and restart recovery ----
 
-    /// Binds who joined, at once, the busiest first; only a channel near its limit makes some wait.
+    /// Binds who joined, at once; only a channel near its limit makes some wait.
     fn join(&mut self, out: &mut Vec<Action>) -> (BTreeSet<ProxyId>, f64) {
         let limit = self.fact("channel.lines_waiting_at_most") * JOIN_LINES;
         let (mut sum, mut done) = (0.0, BTreeSet::new());
         for id in self.joins.clone() {
-            let Some(zone) = self.proxies.get(&id).map(|proxy| proxy.zone) else { continue };
-            let own: Vec<_> =
-                self.tables.iter().filter(|(_, t)| t.zone == zone && !t.lines.is_empty()).collect();
-            let cost: usize = own.iter().map(|(_, t)| 1 + t.lines.len() + t.levels.len()).sum();
-            let cost = cost as f64 + self.fact("channel.head_lines") + 1.0;
-            if own.is_empty() || self.outstanding() + sum + cost > limit {
+            let Some(proxy) = self.proxies.get(&id) else { continue };
+            let own = self.tables.iter().filter(|(_, t)| t.zone == proxy.zone && !t.lines.is_empty());
+            let own: Vec<_> = own.collect();
+            let lines = self.message_lines(own.iter().map(|(_, t)| 1 + t.lines.len() + t.levels.len()).sum());
+            if own.is_empty() || self.outstanding() + sum + lines > limit {
                 continue;
             }
-            for (table, bound) in own {
-                let operations = bound.operations.clone();
-                out.push(Action::Bind { proxy: id, table: *table, operations });
-            }
-            sum += cost;
+            let bind = |(table, bound): (&TableId, &Table)| Action::Bind {
+                proxy: id,
+                table: *table,
+                operations: bound.operations.clone(),
+            };
+            out.extend(own.into_iter().map(bind));
+            sum += lines;
             done.insert(id);
         }
-        for id in &done {
-            self.joins.remove(id);
-            self.proxies.entry(*id).and_modify(|proxy| proxy.bound = true);
-        }
+        self.joins.retain(|id| !done.contains(id));
         (done, sum)
     }
 
-    /// Books this reply's messages and asks for answers to them.
+    /// Books this moment's messages and asks for answers to them.
     fn register(
         &mut self,
         lines: &BTreeMap<TableId, usize>,
         joined: &BTreeSet<ProxyId>,
-        join_lines: f64,
+        mut sum: f64,
         step: bool,
         out: &mut Vec<Action>,
     ) {
-        let (now, head) = (self.now, self.fact("channel.head_lines"));
-        let mut sum = join_lines;
-        let mut waiting = joined.clone();
-        for (id, proxy) in &mut self.proxies {
+        let (now, mut waiting) = (self.now, joined.clone());
+        for (id, proxy) in self.proxies.iter().filter(|(_, proxy)| proxy.bound) {
             let own = self.tables.iter().filter(|(_, table)| table.zone == proxy.zone);
             let count: usize = own.filter_map(|(id, _)| lines.get(id)).sum();
-            if proxy.bound && count > 0 && !joined.contains(id) {
-                sum += count as f64 + head + 1.0;
+            if count > 0 {
+                sum += self.message_lines(count);
                 waiting.insert(*id);
             }
-            if waiting.contains(id) {
-                proxy.written.add(now, 1.0);
-            }
         }
-        if waiting.is_empty() {
-            return;
+        for (_, proxy) in self.proxies.iter_mut().filter(|(id, _)| waiting.contains(id)) {
+            proxy.bound = true;
+            proxy.written.add(now, 1.0);
+        }
+        if !waiting.is_empty() {
+            self.channel.next = (self.channel.next + 1) % 65536;
+            let (mark, asked) = (MarkId(self.channel.next), waiting.len());
+            out.push(Action::Mark { mark, everyone: false });
+            self.channel.sent.push_back(Sent { mark, at: now, lines: sum, asked, waiting, step });
         }
-        self.channel.next = (self.channel.next + 1) % 65536;
-        let mark = MarkId(self.channel.next);
-        out.push(Action::Mark { mark, everyone: false });
-        let asked = waiting.len();
-        self.channel.sent.push_back(Sent { mark, at: now, lines: sum, asked, waiting, step });
     }
 
-    // ---- notes between conductors ----
-
-    /// What this conductor's proxies ask for by zone and bring to each node, once in two periods.
+    /// Tells the other conductors what is asked for here and what each node serves of it.
     fn tell_peers(&mut self, out: &mut Vec<Action>) {
         let allowed = self.facts.0.get("peers.may_tell") == Some(&Fact::Flag(true));
-        let few = self.fact("conductor.count") < 2.0;
-        if !allowed || few || self.now - self.told_peers < self.period() * 2.0 {
+        let alone = self.fact("conductor.count") < 2.0;
+        if !allowed || alone || self.now - self.told_peers < self.period() * PEER_PACE {
             return;
         }
         self.told_peers = self.now;
-        let mut bytes = Vec::new();
-        for table in self.tables.values() {
+        let joined = |table: &Table| {
             let own = self.proxies.values().filter(|p| p.joined && p.zone == table.zone);
-            let demand: f64 = own.map(|p| self.demand(p, &table.operations)).sum();
-            bytes.extend((demand as f32).to_le_bytes());
-        }
-        for id in self.nodes.keys().filter(|id| self.open(**id)) {
-            let stale = self.now - self.period() * 6.0;
-            let paths = self.paths.iter().filter(|(key, path)| key.1 == *id && path.heard > stale);
-            let rate: f64 = paths.filter_map(|(_, path)| path.served.get()).sum();
-            if bytes.len() + 8 <= 256 {
-                bytes.extend(id.address);
-                bytes.extend(id.port.to_le_bytes());
-                bytes.extend(((rate * 64.0).min(65535.0) as u16).to_le_bytes());
-            }
-        }
-        out.push(Action::Tell { peer: None, bytes });
-    }
-
-    fn peer_note(&mut self, from: PeerId, bytes: &[u8]) -> Result<(), String> {
-        let head = 4 * self.tables.len();
-        if bytes.len() < head || (bytes.len() - head) % 8 != 0 {
-            return Err(format!("note of {} bytes from {from:?}", bytes.len()));
-        }
-        let mut view = PeerView { heard: self.now, ..PeerView::default() };
-        for (table, four) in self.tables.values().zip(bytes.chunks_exact(4)) {
-            let demand = f32::from_le_bytes([four[0], four[1], four[2], four[3]]);
-            if demand.is_finite() && (0.0..1e7).contains(&demand) {
-                view.demand.insert((table.zone, table.stays), f64::from(demand));
-            }
-        }
-        for line in bytes[head..].chunks_exact(8) {
-            let node = NodeId {
-                address: [line[0], line[1], line[2], line[3]],
-                port: u16::from_le_bytes([line[4], line[5]]),
-            };
-            view.rates.insert(node, f64::from(u16::from_le_bytes([line[6], line[7]])) / 64.0);
-        }
-        self.peers.insert(from, view);
-        Ok(())
+            own.map(|proxy| self.demand(proxy, &table.operations)).sum()
+        };
+        let demand: Vec<f64> = self.tables.values().map(joined).collect();
+        let since = self.heard - self.period() * STALE;
+        let rates = self.open_nodes().into_iter().map(|id| (id, self.own_rate(id, since))).collect();
+        out.push(Action::Tell { peer: None, bytes: PeerView::write(&demand, &rates, 256) });
     }
 }
 
-/// Whether `from` waits, directly or by others, on `to`.
-fn reaches(waits: &BTreeMap<TableId, BTreeSet<TableId>>, from: TableId, to: TableId) -> bool {
-    let mut seen = BTreeSet::new();
-    let mut next: Vec<TableId> = waits[&from].iter().copied().collect();
-    while let Some(table) = next.pop() {
-        if table == to {
-            return true;
-        }
-        if seen.insert(table) {
-            next.extend(waits.get(&table).into_iter().flatten());
-        }
-    }
-    false
+/// Whether a line's move, or a line more or less, is worth a step.
+fn worth_a_step(lines: &Shares, target: &Shares) -> bool {
+    let (now, typical) = (shares(lines), 1.0 / target.len().max(1) as f64);
+    target.keys().chain(now.keys()).any(|node| {
+        let (a, b) = (now.get(node).copied().unwrap_or(0.0), target.get(node).copied().unwrap_or(0.0));
+        (a - b).abs() > STEP_STARTS * a.max(b).max(0.3 * typical) || (a > 0.0) != (b > 0.0)
+    })
 }
--- a/crates/wheelspread/src/lib.rs
+++ b/crates/wheelspread/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod facts;
 pub mod ids;
 pub mod interface;
+mod measure;
 pub mod pcg;
 pub mod ring;
 pub mod state;
--- /dev/null
+++ b/crates/wheelspread/src/measure.rs
@@ -0,0 +1,132 @@
+//! Sums over what is remembered: rates, demand, traffic. Plain arithmetic, no decision.
+
+use crate::ids::*;
+use crate::state::*;
+use crate::time::{Moment, Span};
+use std::collections::{BTreeMap, BTreeSet};
+
+pub fn shares(lines: &Shares) -> Shares {
+    let sum: f64 = lines.values().sum();
+    lines.iter().map(|(id, weight)| (*id, weight / sum.max(1e-9))).collect()
+}
+
+pub fn load(orders: &Orders, table: TableId, node: NodeId) -> f64 {
+    orders.get(&table).and_then(|lines| lines.get(&node)).copied().unwrap_or(0.0)
+}
+
+/// Whether `from` waits, directly or by others, on `to`.
+pub fn reaches(waits: &BTreeMap<TableId, BTreeSet<TableId>>, from: TableId, to: TableId) -> bool {
+    let mut seen = BTreeSet::new();
+    let mut next: Vec<TableId> = waits.get(&from).into_iter().flatten().copied().collect();
+    while let Some(table) = next.pop() {
+        if table == to {
+            return true;
+        }
+        if seen.insert(table) {
+            next.extend(waits.get(&table).into_iter().flatten());
+        }
+    }
+    false
+}
+
+impl Balancer {
+    pub(crate) fn fact(&self, name: &str) -> f64 {
+        self.facts.number_or(name, 0.0)
+    }
+
+    pub(crate) fn span(&self, name: &str) -> Span {
+        Span::from_seconds(self.fact(name))
+    }
+
+    pub(crate) fn period(&self) -> Span {
+        Span::from_seconds(self.fact("sums.period").clamp(0.05, 60.0))
+    }
+
+    /// The shortest latency objective.
+    pub(crate) fn objective(&self) -> f64 {
+        self.operations.iter().map(|o| o.objective.seconds()).fold(f64::INFINITY, f64::min).min(60.0)
+    }
+
+    pub(crate) fn open(&self, id: NodeId) -> bool {
+        self.nodes.get(&id).is_some_and(|node| matches!(node.life, Life::Cold | Life::Warm))
+    }
+
+    pub(crate) fn open_nodes(&self) -> Vec<NodeId> {
+        self.nodes.keys().copied().filter(|id| self.open(*id)).collect()
+    }
+
+    /// Age, as a part of the time after which a node is warm.
+    pub(crate) fn age(&self, node: &Node) -> f64 {
+        let whole = self.fact("rules.warm_after").max(1e-3);
+        node.started.map_or(1.0, |at| ((self.now - at).seconds().max(0.0) / whole).min(1.0))
+    }
+
+    pub(crate) fn demand(&self, proxy: &Proxy, operations: &[OperationId]) -> f64 {
+        operations.iter().filter_map(|o| proxy.demand.get(o).and_then(Smooth::get)).sum()
+    }
+
+    pub(crate) fn demand_by(&self, counts: impl Fn(&Proxy) -> bool) -> f64 {
+        let all = self.proxies.values().filter(|proxy| counts(proxy));
+        all.flat_map(|proxy| proxy.demand.values()).filter_map(Smooth::get).sum()
+    }
+
+    pub(crate) fn level_is_share(&self) -> bool {
+        self.facts.text("level.form").is_ok_and(|form| form == "share")
+    }
+
+    /// What the joined proxies of a table let in, a second.
+    pub(crate) fn traffic(&self, table: &Table) -> f64 {
+        let (mut sum, share) = (0.0, self.level_is_share());
+        for proxy in self.proxies.values().filter(|proxy| proxy.joined && proxy.zone == table.zone) {
+            for operation in &table.operations {
+                let asked = proxy.demand.get(operation).and_then(Smooth::get).unwrap_or(0.0);
+                let quota = table.levels.get(operation).map_or(f64::INFINITY, |level| level.0);
+                sum += if share { asked * quota.min(1.0) } else { asked.min(quota) };
+            }
+        }
+        sum
+    }
+
+    /// How many times the joined proxies' load there may be: unheard proxies and other conductors.
+    pub(crate) fn beyond(&self) -> f64 {
+        let joined = self.proxies.values().filter(|proxy| proxy.joined).count();
+        (self.fact("proxy.count") / joined.max(1) as f64).max(1.0)
+    }
+
+    /// What proxies ask for by zone and by whether it stays there: own ones, those out of a single
+    /// conductor's reach, and those that peers have told of since `since`.
+    pub(crate) fn zone_demand(&self, since: Moment) -> BTreeMap<(ZoneId, bool), f64> {
+        let alone = self.fact("conductor.count") <= 1.0;
+        let sum = |table: &Table| {
+            let known = self.proxies.values().filter(|p| p.zone == table.zone && (p.joined || alone));
+            let own: f64 = known.map(|proxy| self.demand(proxy, &table.operations)).sum();
+            let peers = self.peers.values().filter(|peer| peer.heard >= since);
+            own + peers.filter_map(|peer| peer.demand.get(&(table.zone, table.stays))).sum::<f64>()
+        };
+        self.tables.values().map(|table| ((table.zone, table.stays), sum(table))).collect()
+    }
+
+    /// What a node is seen to serve for own proxies, by sums that came since `since`.
+    pub(crate) fn own_rate(&self, id: NodeId, since: Moment) -> f64 {
+        let own = self.paths.iter().filter(|(key, path)| key.1 == id && path.heard >= since);
+        own.filter_map(|(_, path)| path.served.get()).sum()
+    }
+
+    pub(crate) fn peers_rate(&self, id: NodeId, since: Moment) -> f64 {
+        let fresh = self.peers.values().filter(|peer| peer.heard >= since);
+        fresh.filter_map(|peer| peer.rates.get(&id)).sum()
+    }
+
+    /// Tries and errors of the last few periods, where the path counts.
+    pub(crate) fn met(&self, periods: usize, counts: impl Fn(&(ZoneId, NodeId)) -> bool) -> Work {
+        let mut sum = Work::default();
+        let paths = self.paths.iter().filter(|(key, _)| counts(key));
+        paths.for_each(|(_, path)| sum += path.sums.last(self.now, periods));
+        sum
+    }
+
+    /// Lines of this moment's messages: for each proxy those of its tables, a head and a mark.
+    pub(crate) fn message_lines(&self, lines: usize) -> f64 {
+        lines as f64 + self.fact("channel.head_lines") + 1.0
+    }
+}
--- a/crates/wheelspread/src/state.rs
+++ b/crates/wheelspread/src/state.rs
@@ -1,12 +1,56 @@
 //! What the module remembers. Plain shapes: nothing here decides anything.
 
+use crate::facts::Facts;
 use crate::ids::*;
 use crate::interface::{ListEntry, Retry};
+use crate::pcg::Pcg;
 use crate::ring::Ring;
 use crate::time::{Moment, Span};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::ops::AddAssign;
 
+/// Weights or shares by node, and by table.
+pub type Shares = BTreeMap<NodeId, f64>;
+pub type Orders = BTreeMap<TableId, Shares>;
+
+/// All that one conductor's module remembers; `balance` decides with it, `measure` adds it up.
+pub struct Balancer {
+    pub(crate) facts: Facts,
+    pub(crate) random: Pcg,
+    pub(crate) now: Moment,
+    pub(crate) operations: Vec<Operation>,
+    pub(crate) nodes: BTreeMap<NodeId, Node>,
+    pub(crate) paths: BTreeMap<(ZoneId, NodeId), Path>,
+    pub(crate) proxies: BTreeMap<ProxyId, Proxy>,
+    pub(crate) tables: BTreeMap<TableId, Table>,
+    pub(crate) peers: BTreeMap<PeerId, PeerView>,
+    pub(crate) channel: Channel,
+    /// Proxies that have joined and are not bound yet.
+    pub(crate) joins: BTreeSet<ProxyId>,
+    pub(crate) admission: Admission,
+    /// The shortest mean time that each kind of node has shown.
+    pub(crate) quickest: BTreeMap<KindId, f64>,
+    /// When sums last came, and whether any have not been learnt from.
+    pub(crate) heard: Moment,
+    pub(crate) news: bool,
+    /// Whether the list or health changed since the last step.
+    pub(crate) moved: bool,
+    pub(crate) told_peers: Moment,
+    pub(crate) ticks: u64,
+    pub(crate) next_tick: Moment,
+}
+
+#[derive(Clone, Debug)]
+pub struct Admission {
+    /// Share let in by table and operation.
+    pub let_in: BTreeMap<(TableId, OperationId), f64>,
+    /// What the design's last resort takes off a table while a step has no room.
+    pub cut: Option<(TableId, f64)>,
+    pub ease: f64,
+    pub eased: Moment,
+    pub strained: bool,
+}
+
 /// Where a node stands by the list and the clock.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Life {
@@ -53,8 +97,8 @@
         self.0
     }
 
-    pub fn set(&mut self, value: Option<f64>) {
-        self.0 = value;
+    pub fn at(value: f64) -> Smooth {
+        Smooth(Some(value))
     }
 }
 
@@ -76,7 +120,6 @@
     pub carried: f64,
     /// The most it lately served, a second; fades.
     pub peak: f64,
-    pub heard: Option<Moment>,
     pub news: Span,
     /// Sums not yet learnt from.
     pub fresh: Work,
@@ -98,7 +141,6 @@
             evidence: 0.0,
             carried: 0.0,
             peak: 0.0,
-            heard: None,
             news: Span::ZERO,
             fresh: Work::default(),
         }
@@ -116,6 +158,13 @@
     pub sums: Ring<Work>,
 }
 
+impl Path {
+    pub fn new(now: Moment, sums: Ring<Work>) -> Path {
+        let (rate, served) = Default::default();
+        Path { standing: Standing::Clear, since: now, hold: Span::ZERO, rate, served, heard: now, sums }
+    }
+}
+
 #[derive(Clone, Debug)]
 pub struct Proxy {
     pub zone: ZoneId,
@@ -123,6 +172,7 @@
     pub bound: bool,
     pub since: Moment,
     pub demand: BTreeMap<OperationId, Smooth>,
+    /// Messages written to it.
     pub written: Ring<f64>,
 }
 
@@ -135,6 +185,22 @@
     pub levels: BTreeMap<OperationId, (f64, Retry)>,
 }
 
+impl Table {
+    /// One table a zone, or two where some operations stay in their zone and some don't.
+    pub fn all(operations: &[Operation], zones: u16) -> BTreeMap<TableId, Table> {
+        let mut tables = BTreeMap::new();
+        for (zone, stays) in (0..zones).flat_map(|zone| [(zone, false), (zone, true)]) {
+            let own: Vec<OperationId> =
+                operations.iter().filter(|operation| operation.stays == stays).map(|o| o.id).collect();
+            if !own.is_empty() {
+                let table = Table { zone: ZoneId(zone), stays, operations: own, ..Table::default() };
+                tables.insert(TableId(2 * zone + u16::from(stays)), table);
+            }
+        }
+        tables
+    }
+}
+
 #[derive(Clone, Debug, Default)]
 pub struct PeerView {
     pub heard: Moment,
@@ -142,6 +208,41 @@
     pub rates: BTreeMap<NodeId, f64>,
 }
 
+impl PeerView {
+    /// A note between conductors: what is asked for in each table, then what each node serves.
+    pub fn write(demand: &[f64], rates: &Shares, longest: usize) -> Vec<u8> {
+        let mut bytes: Vec<u8> = demand.iter().flat_map(|rate| (*rate as f32).to_le_bytes()).collect();
+        for (id, rate) in rates {
+            if bytes.len() + 8 <= longest {
+                bytes.extend(id.address);
+                bytes.extend(id.port.to_le_bytes());
+                bytes.extend(((rate * 64.0).min(65535.0) as u16).to_le_bytes());
+            }
+        }
+        bytes
+    }
+
+    pub fn read(bytes: &[u8], tables: &BTreeMap<TableId, Table>, now: Moment) -> Option<PeerView> {
+        let head = 4 * tables.len();
+        if bytes.len() < head || (bytes.len() - head) % 8 != 0 {
+            return None;
+        }
+        let mut view = PeerView { heard: now, ..PeerView::default() };
+        for (table, four) in tables.values().zip(bytes.chunks_exact(4)) {
+            let demand = f64::from(f32::from_le_bytes(four.try_into().ok()?));
+            if demand.is_finite() && demand >= 0.0 {
+                view.demand.insert((table.zone, table.stays), demand);
+            }
+        }
+        for line in bytes[head..].chunks_exact(8) {
+            let (address, port) = (line[..4].try_into().ok()?, u16::from_le_bytes([line[4], line[5]]));
+            let rate = f64::from(u16::from_le_bytes([line[6], line[7]])) / 64.0;
+            view.rates.insert(NodeId { address, port }, rate);
+        }
+        Some(view)
+    }
+}
+
 /// One reply's orders on their way: how many lines, and who has not answered.
 #[derive(Clone, Debug)]
 pub struct Sent {
@@ -180,3 +281,23 @@
     Fingerprinted,
     SideEffecting,
 }
+
+impl Operation {
+    pub fn read(facts: &Facts, at: u8) -> Result<Operation, String> {
+        let name = |part: &str| format!("operation.{at}.{part}");
+        Ok(Operation {
+            id: OperationId(at),
+            objective: Span::from_seconds(facts.number(&name("latency_objective"))?),
+            timeout: Span::from_seconds(facts.number(&name("integration_timeout"))?),
+            value: facts.number_or(&name("billed_value"), 1.0),
+            effect: match facts.text(&name("repeat"))? {
+                "idempotent" => Repeat::Idempotent,
+                "fingerprinted" => Repeat::Fingerprinted,
+                _ => Repeat::SideEffecting,
+            },
+            group: facts.text(&name("repeat_group")).unwrap_or("").to_string(),
+            window: Span::from_seconds(facts.number_or(&name("repeat_window"), 0.0)),
+            stays: facts.flag_or(&name("stays_in_zone"), false),
+        })
+    }
+}
