--- a/crates/wheelspread/src/balance.rs
+++ b/crates/wheelspread/src/balance.rs
@@ -134,6 +134,7 @@
 const LEVEL_RISE: f64 = 0.05; // of an operation's traffic, each time levels are set
 const LEVEL_MOVES: f64 = 0.04; // to a level: smaller changes are not sent
 const COLD_GUARD: f64 = 0.5; // to the load over a whole window that would push a cold node over
+const AVOIDED: f64 = 0.1; // chance of such a run of errors: with more, proxies avoid many nodes
 const FAILING: f64 = 0.45; // of tries, beyond twice what others meet
 const FEWEST_ERRORS: f64 = 3.0; // tries: fewer prove nothing
 const JUDGED_OVER: usize = 5; // sums' periods
@@ -533,6 +534,14 @@
             self.tables.iter().map(|(id, t)| (*id, self.traffic(t))).collect();
         let tries: f64 = self.paths.values().filter_map(|path| path.rate.get()).sum();
         let repeated = (tries / totals.values().sum::<f64>().max(1e-6)).max(1.0) * self.beyond();
+        // Proxies that avoid what errs leave the whole load to the lines that don't, however small their
+        // weight. While runs of errors that long are common, a cold node gets no line beside warm ones.
+        let (met, run) = (self.met(2, |_| true), self.fact("proxy.errors_until_avoided"));
+        let avoided = run > 0.0 && (met.errored / met.tries.max(1.0)).powf(run) > AVOIDED;
+        let cold = |id: &NodeId| self.nodes.get(id).is_some_and(|node| node.life == Life::Cold);
+        for lines in draft.values_mut().filter(|lines| avoided && !lines.keys().all(cold)) {
+            lines.retain(|id, _| !cold(id));
+        }
         for (id, node) in self.nodes.iter().filter(|(_, node)| node.life == Life::Cold) {
             let limit = self.cold_limit(node);
             let limit = (limit - self.peers_rate(*id, self.peers_since())).max(limit * 0.3);
