--- a/crates/wheelspread/src/balance.rs
+++ b/crates/wheelspread/src/balance.rs
@@ -621,7 +621,7 @@
     /// One step of the way from what is published to `targets`, as the design orders it, written into
     /// `draft`. Waits between tables follow from the loads: a table that adds to a node at risk waits
     /// for those that lift load off it.
-    fn plan(&mut self, targets: &Orders, draft: &mut Orders) {
+    pub(crate) fn plan(&mut self, targets: &Orders, draft: &mut Orders) {
         let scaled =
             |lines: &Shares, traffic: f64| lines.iter().map(|(n, share)| (*n, share * traffic)).collect();
         let (mut old, mut new) = (Orders::new(), Orders::new());
--- a/crates/wheelspread/src/lib.rs
+++ b/crates/wheelspread/src/lib.rs
@@ -10,3 +10,6 @@
 pub mod ring;
 pub mod state;
 pub mod time;
+
+#[cfg(test)]
+mod scenarios;
--- a/crates/wheelspread/src/pcg.rs
+++ b/crates/wheelspread/src/pcg.rs
@@ -9,11 +9,11 @@
 impl Pcg {
     pub fn new(seed: u64) -> Pcg {
         let mut pcg = Pcg(seed.wrapping_add(INCREMENT));
-        pcg.next();
+        pcg.draw();
         pcg
     }
 
-    pub fn next(&mut self) -> u32 {
+    pub fn draw(&mut self) -> u32 {
         let old = self.0;
         self.0 = old.wrapping_mul(MULTIPLIER).wrapping_add(INCREMENT);
         ((((old >> 18) ^ old) >> 27) as u32).rotate_right((old >> 59) as u32)
@@ -21,6 +21,6 @@
 
     /// Evenly from 0 up to 1.
     pub fn unit(&mut self) -> f64 {
-        f64::from(self.next()) / 4294967296.0
+        f64::from(self.draw()) / 4294967296.0
     }
 }
--- a/crates/wheelspread/src/state.rs
+++ b/crates/wheelspread/src/state.rs
@@ -224,7 +224,7 @@
 
     pub fn read(bytes: &[u8], tables: &BTreeMap<TableId, Table>, now: Moment) -> Option<PeerView> {
         let head = 4 * tables.len();
-        if bytes.len() < head || (bytes.len() - head) % 8 != 0 {
+        if bytes.len() < head || !(bytes.len() - head).is_multiple_of(8) {
             return None;
         }
         let mut view = PeerView { heard: now, ..PeerView::default() };
