--- a/crates/wheelspread/src/balance.rs
+++ b/crates/wheelspread/src/balance.rs
@@ -142,8 +142,8 @@
 const TRIAL_PART: f64 = 0.2; // to a node's usual weight
 const HOLD: (f64, f64, f64) = (4.0, 1.5, 4.0); // to period plus longest delay; growth; at most, to the first
 const OUT_AT_MOST: f64 = 0.34; // of the nodes: with more failing, no single node is to blame
-const STEP_WRITES: f64 = 0.4; // of the messages allowed to a proxy
-const LEVEL_WRITES: f64 = 0.2; // the same, for admission
+const STEP_WRITES: f64 = 0.55; // of the messages allowed to a proxy; levels go with the steps
+const EARLY_WRITES: f64 = 0.4; // the same, for a step that news of the list or of health brings forward
 const GUARD_WRITES: f64 = 0.8; // the same, for a cold node's limit; drains and joins have the rest
 const STEP_LINES: f64 = 0.1; // of the lines that may wait in the channel
 const JOIN_LINES: f64 = 0.7; // the same, for joins
@@ -533,7 +533,8 @@
         let totals: BTreeMap<TableId, f64> =
             self.tables.iter().map(|(id, t)| (*id, self.traffic(t))).collect();
         let tries: f64 = self.paths.values().filter_map(|path| path.rate.get()).sum();
-        let repeated = (tries / totals.values().sum::<f64>().max(1e-6)).max(1.0) * self.beyond();
+        let repeated =
+            (tries / totals.values().sum::<f64>().max(1e-6)).max(1.0) * self.beyond(self.peers_since());
         // Proxies that avoid what errs leave the whole load to the lines that don't, however small their
         // weight. While runs of errors that long are common, a cold node gets no line beside warm ones.
         let (met, run) = (self.met(2, |_| true), self.fact("proxy.errors_until_avoided"));
@@ -863,8 +864,10 @@
         let lines = self.outstanding() <= STEP_LINES * self.fact("channel.lines_waiting_at_most");
         let last = self.channel.sent.iter().rev().find(|sent| sent.step);
         let waited = |sent: &Sent| self.now - sent.at >= Span::from_seconds(STEP_WAIT);
-        let pace = if self.moved { self.period() * 0.2 } else { self.pace(STEP_WRITES) };
-        let paced = self.channel.last_step.is_none_or(|at| self.now - at >= pace);
+        let early = self.moved && self.may_write(EARLY_WRITES);
+        let pace = if early { self.period() * 0.2 } else { self.pace(STEP_WRITES) };
+        let paced = self.channel.last_step.is_none_or(|at| self.now - at >= pace)
+            && self.may_write(STEP_WRITES + 0.1);
         lines && paced && last.is_none_or(|sent| Self::answered(sent) || waited(sent))
     }
 
@@ -893,14 +896,14 @@
         let mut draft: Orders = self.tables.iter().map(|(id, table)| (*id, table.lines.clone())).collect();
         self.urgent(&targets, &mut draft);
         let mut lines: BTreeMap<TableId, usize> = BTreeMap::new();
-        let step = self.step_due() && self.may_write(STEP_WRITES + LEVEL_WRITES);
+        let step = self.step_due();
         if step {
             self.plan(&targets, &mut draft);
             (self.channel.last_step, self.moved) = (Some(now), false);
         }
         self.guard(&mut draft);
         self.publish(&draft, &mut lines, out);
-        self.publish_levels(&mut lines, out);
+        self.publish_levels(step, &mut lines, out);
         let (joined, join_lines) = self.join(out);
         self.register(&lines, &joined, join_lines, step, out);
         self.tell_peers(out);
@@ -940,15 +943,14 @@
         }
     }
 
-    fn publish_levels(&mut self, lines: &mut BTreeMap<TableId, usize>, out: &mut Vec<Action>) {
-        if self.channel.last_levels.is_some_and(|at| self.now - at < self.pace(LEVEL_WRITES)) {
+    fn publish_levels(&mut self, step: bool, lines: &mut BTreeMap<TableId, usize>, out: &mut Vec<Action>) {
+        let waited = |at: Moment, least: Span| self.now - at >= least;
+        let pace = if step { self.period() } else { self.pace(STEP_WRITES) };
+        if self.channel.last_levels.is_some_and(|at| !waited(at, pace)) || !self.may_write(GUARD_WRITES) {
             return;
         }
         self.channel.last_levels = Some(self.now);
         self.admit();
-        if lines.is_empty() && !self.may_write(LEVEL_WRITES + STEP_WRITES) {
-            return;
-        }
         let all = self.tables.iter().flat_map(|(id, t)| t.operations.iter().map(|o| (*id, *o)));
         for (id, operation) in all.collect::<Vec<_>>() {
             let (quota, retry) = self.level(id, operation);
@@ -1033,8 +1035,9 @@
         };
         let demand: Vec<f64> = self.tables.values().map(joined).collect();
         let since = self.heard - self.period() * STALE;
+        let proxies = self.proxies.values().filter(|proxy| proxy.joined).count();
         let rates = self.open_nodes().into_iter().map(|id| (id, self.own_rate(id, since))).collect();
-        out.push(Action::Tell { peer: None, bytes: PeerView::write(&demand, &rates, 256) });
+        out.push(Action::Tell { peer: None, bytes: PeerView::write(proxies, &demand, &rates, 256) });
     }
 }
 
--- a/crates/wheelspread/src/measure.rs
+++ b/crates/wheelspread/src/measure.rs
@@ -87,10 +87,12 @@
         sum
     }
 
-    /// How many times the joined proxies' load there may be: unheard proxies and other conductors.
-    pub(crate) fn beyond(&self) -> f64 {
-        let joined = self.proxies.values().filter(|proxy| proxy.joined).count();
-        (self.fact("proxy.count") / joined.max(1) as f64).max(1.0)
+    /// How many times the joined proxies' load there may be: unheard proxies, and conductors not heard.
+    pub(crate) fn beyond(&self, since: Moment) -> f64 {
+        let joined = self.proxies.values().filter(|proxy| proxy.joined).count() as f64;
+        // What peers' proxies bring is counted by itself.
+        let told: f64 = self.peers.values().filter(|peer| peer.heard >= since).map(|peer| peer.proxies).sum();
+        ((self.fact("proxy.count") - told) / joined.max(1.0)).max(1.0)
     }
 
     /// What proxies ask for by zone and by whether it stays there: own ones, those out of a single
--- a/crates/wheelspread/src/state.rs
+++ b/crates/wheelspread/src/state.rs
@@ -204,14 +204,16 @@
 #[derive(Clone, Debug, Default)]
 pub struct PeerView {
     pub heard: Moment,
+    pub proxies: f64,
     pub demand: BTreeMap<(ZoneId, bool), f64>,
     pub rates: BTreeMap<NodeId, f64>,
 }
 
 impl PeerView {
-    /// A note between conductors: what is asked for in each table, then what each node serves.
-    pub fn write(demand: &[f64], rates: &Shares, longest: usize) -> Vec<u8> {
-        let mut bytes: Vec<u8> = demand.iter().flat_map(|rate| (*rate as f32).to_le_bytes()).collect();
+    /// A note between conductors: proxies joined, what is asked for in each table, what nodes serve.
+    pub fn write(proxies: usize, demand: &[f64], rates: &Shares, longest: usize) -> Vec<u8> {
+        let mut bytes = (proxies.min(65535) as u16).to_le_bytes().to_vec();
+        bytes.extend(demand.iter().flat_map(|rate| (*rate as f32).to_le_bytes()));
         for (id, rate) in rates {
             if bytes.len() + 8 <= longest {
                 bytes.extend(id.address);
@@ -223,12 +225,13 @@
     }
 
     pub fn read(bytes: &[u8], tables: &BTreeMap<TableId, Table>, now: Moment) -> Option<PeerView> {
-        let head = 4 * tables.len();
+        let head = 2 + 4 * tables.len();
         if bytes.len() < head || !(bytes.len() - head).is_multiple_of(8) {
             return None;
         }
-        let mut view = PeerView { heard: now, ..PeerView::default() };
-        for (table, four) in tables.values().zip(bytes.chunks_exact(4)) {
+        let proxies = f64::from(u16::from_le_bytes([bytes[0], bytes[1]]));
+        let mut view = PeerView { heard: now, proxies, ..PeerView::default() };
+        for (table, four) in tables.values().zip(bytes[2..].chunks_exact(4)) {
             let demand = f64::from(f32::from_le_bytes(four.try_into().ok()?));
             if demand.is_finite() && demand >= 0.0 {
                 view.demand.insert((table.zone, table.stays), demand);
