--- a/crates/wheelspread/src/balance.rs
+++ b/crates/wheelspread/src/balance.rs
@@ -134,6 +134,7 @@
 const LEVEL_RISE: f64 = 0.05; // of an operation's traffic, each time levels are set
 const LEVEL_MOVES: f64 = 0.04; // to a level: smaller changes are not sent
 const COLD_GUARD: f64 = 0.5; // to the load over a whole window that would push a cold node over
+const GUARD_SLACK: f64 = 1.2; // to that limit, before lines are lowered to it
 const AVOIDED: f64 = 0.1; // chance of such a run of errors: with more, proxies avoid many nodes
 const FAILING: f64 = 0.45; // of tries, beyond twice what others meet
 const FEWEST_ERRORS: f64 = 3.0; // tries: fewer prove nothing
@@ -543,17 +544,22 @@
         for lines in draft.values_mut().filter(|lines| avoided && !lines.keys().all(cold)) {
             lines.retain(|id, _| !cold(id));
         }
+        for lines in draft.values_mut().filter(|lines| !lines.is_empty() && lines.keys().all(cold)) {
+            // With nothing else to go to, each gets its part and `admit` lets in no more than they take.
+            lines.iter_mut().for_each(|(id, weight)| *weight = self.cold_limit(&self.nodes[id]).max(1e-3));
+        }
         for (id, node) in self.nodes.iter().filter(|(_, node)| node.life == Life::Cold) {
             let limit = self.cold_limit(node);
             let limit = (limit - self.peers_rate(*id, self.peers_since())).max(limit * 0.3);
-            for _ in 0..4 {
-                let part = |lines: &Shares| lines.get(id).map_or(0.0, |w| w / lines.values().sum::<f64>());
-                let load: f64 =
-                    draft.iter().map(|(t, lines)| totals[t] * part(lines)).sum::<f64>() * repeated;
-                if load > limit {
-                    for lines in draft.values_mut().filter(|lines| lines.len() > 1) {
-                        lines.entry(*id).and_modify(|weight| *weight = (*weight * limit / load).max(1e-3));
-                    }
+            let part = |lines: &Shares| lines.get(id).map_or(0.0, |w| w / lines.values().sum::<f64>());
+            let load = |draft: &Orders| -> f64 {
+                draft.iter().map(|(t, lines)| totals[t] * part(lines)).sum::<f64>() * repeated
+            };
+            // A line near its limit stays: each lowering costs every proxy a message.
+            for _ in 0..if load(draft) > limit * GUARD_SLACK { 5 } else { 0 } {
+                let lower = (limit / load(draft).max(1e-9)).min(1.0);
+                for lines in draft.values_mut().filter(|lines| !lines.keys().all(cold)) {
+                    lines.entry(*id).and_modify(|weight| *weight = (*weight * lower).max(1e-3));
                 }
             }
         }
@@ -720,11 +726,12 @@
 
     // ---- what can't wait ----
 
-    /// Drained and gone nodes leave at once, and no table is left empty.
+    /// Drained and gone nodes leave at once; a table left empty, or with cold nodes only, is filled at once.
     fn urgent(&self, targets: &Orders, draft: &mut Orders) {
         for (id, lines) in draft {
             lines.retain(|node, _| self.open(*node));
-            if lines.is_empty() {
+            let warm = |node: &NodeId| self.nodes.get(node).is_some_and(|node| node.life == Life::Warm);
+            if lines.is_empty() || (!lines.keys().any(warm) && targets[id].keys().any(warm)) {
                 *lines = targets[id].iter().map(|(node, share)| (*node, share * WEIGHT_SUM)).collect();
             }
         }
@@ -784,11 +791,22 @@
             let own = nodes.iter().filter(|n| self.nodes[n].zone == table.zone);
             let able: f64 = own.map(|n| self.able(*n)).sum();
             let most = able / demand[&(table.zone, table.stays)].max(1e-6);
+            let cold = |id: &NodeId| self.nodes.get(id).filter(|node| node.life == Life::Cold);
+            let limits: Option<Vec<f64>> =
+                table.lines.keys().map(|id| Some(self.cold_limit(cold(id)?))).collect();
+            let asked: f64 = self
+                .proxies
+                .values()
+                .filter(|p| p.zone == table.zone)
+                .map(|p| self.demand(p, &table.operations))
+                .sum();
+            let cold_only = limits.map_or(1.0, |limits| limits.iter().sum::<f64>() / asked.max(1e-6));
             for operation in &table.operations {
                 let before = self.admission.let_in.get(&(*id, *operation)).copied().unwrap_or(1.0);
                 let share = if local && able > 0.0 { shares[operation].min(most) } else { shares[operation] };
                 let rise = before + LEVEL_RISE;
                 let share = if self.admission.strained || local { share.min(rise) } else { share.max(rise) };
+                let share = if table.lines.is_empty() { share } else { share.min(cold_only) };
                 self.admission.let_in.insert((*id, *operation), share.clamp(LEAST_LEVEL[1], 1.0));
             }
         }
