--- a/crates/wheelspread/src/balance.rs
+++ b/crates/wheelspread/src/balance.rs
@@ -12,8 +12,7 @@
 use crate::facts::{Fact, Facts};
 use crate::ids::*;
 use crate::interface::*;
-use crate::measure::{load, reaches, shares};
-use crate::pcg::Pcg;
+use crate::measure::{load, one_rate, reaches, shares};
 use crate::ring::Ring;
 pub use crate::state::Balancer;
 use crate::state::*;
@@ -115,6 +114,7 @@
 const STALE: f64 = 3.0; // to the sums' period: a path not heard of for longer has no rate
 const PEER_MEMORY: f64 = 12.0; // to the sums' period: how long a peer's note stands
 const PEER_PACE: f64 = 2.0; // sums' periods between two notes
+const NOTE_BYTES: usize = 256; // as many as a note may have
 const PRIOR: f64 = 3.0; // full periods: what the kind's mean counts beside a node's own sums
 const EVIDENCE: f64 = 5.0; // invocations: as many weigh as half a full period
 const LEARN: f64 = 0.12; // of the distance to the fleet's time, each period
@@ -134,7 +134,7 @@
 const LEVEL_RISE: f64 = 0.05; // of an operation's traffic, each time levels are set
 const LEVEL_MOVES: f64 = 0.04; // to a level: smaller changes are not sent
 const COLD_GUARD: f64 = 0.5; // to the load over a whole window that would push a cold node over
-const GUARD_SLACK: f64 = 1.2; // to that limit, before lines are lowered to it
+const GUARD_SLACK: f64 = 1.3; // to that limit, before lines are lowered to it
 const AVOIDED: f64 = 0.1; // chance of such a run of errors: with more, proxies avoid many nodes
 const FAILING: f64 = 0.45; // of tries, beyond twice what others meet
 const FEWEST_ERRORS: f64 = 3.0; // tries: fewer prove nothing
@@ -155,30 +155,7 @@
         let count = facts.number("operation.count")?.clamp(0.0, 16.0) as u8;
         let operations = (0..count).map(|at| Operation::read(&facts, at)).collect::<Result<Vec<_>, _>>()?;
         let tables = Table::all(&operations, facts.number("zone.count")?.clamp(0.0, 1e4) as u16);
-        let (let_in, cut) = Default::default();
-        let (nodes, paths, proxies, peers) = Default::default();
-        let (channel, joins, quickest) = Default::default();
-        Ok(Balancer {
-            random: Pcg::new(seed),
-            admission: Admission { let_in, cut, ease: 1.0, eased: now, strained: false },
-            heard: now,
-            news: false,
-            moved: true,
-            told_peers: now,
-            ticks: 0,
-            next_tick: now,
-            facts,
-            now,
-            operations,
-            nodes,
-            paths,
-            proxies,
-            tables,
-            peers,
-            channel,
-            joins,
-            quickest,
-        })
+        Ok(Balancer::new(now, seed, facts, operations, tables))
     }
 
     // ---- what is heard ----
@@ -794,12 +771,7 @@
             let cold = |id: &NodeId| self.nodes.get(id).filter(|node| node.life == Life::Cold);
             let limits: Option<Vec<f64>> =
                 table.lines.keys().map(|id| Some(self.cold_limit(cold(id)?))).collect();
-            let asked: f64 = self
-                .proxies
-                .values()
-                .filter(|p| p.zone == table.zone)
-                .map(|p| self.demand(p, &table.operations))
-                .sum();
+            let asked = self.asked(table);
             let cold_only = limits.map_or(1.0, |limits| limits.iter().sum::<f64>() / asked.max(1e-6));
             for operation in &table.operations {
                 let before = self.admission.let_in.get(&(*id, *operation)).copied().unwrap_or(1.0);
@@ -829,16 +801,7 @@
             (false, false) => {}
         }
         let own = self.proxies.values().filter(|p| p.joined && p.zone == table.zone);
-        let mut asked: Vec<f64> = own.map(|proxy| self.demand(proxy, &[operation])).collect();
-        asked.sort_by(f64::total_cmp);
-        let (mut left, mut count) = (asked.iter().sum::<f64>() * share, asked.len());
-        for rate in asked {
-            if rate * count as f64 >= left {
-                return (left / count as f64).max(0.1);
-            }
-            (left, count) = (left - rate, count - 1);
-        }
-        1e6
+        one_rate(own.map(|proxy| self.demand(proxy, &[operation])).collect(), share).unwrap_or(1e6)
     }
 
     /// Rule 2: a repeat after any failure only where it can't take effect twice.
@@ -1009,36 +972,6 @@
         (done, sum)
     }
 
-    /// Books this moment's messages and asks for answers to them.
-    fn register(
-        &mut self,
-        lines: &BTreeMap<TableId, usize>,
-        joined: &BTreeSet<ProxyId>,
-        mut sum: f64,
-        step: bool,
-        out: &mut Vec<Action>,
-    ) {
-        let (now, mut waiting) = (self.now, joined.clone());
-        for (id, proxy) in self.proxies.iter().filter(|(_, proxy)| proxy.bound) {
-            let own = self.tables.iter().filter(|(_, table)| table.zone == proxy.zone);
-            let count: usize = own.filter_map(|(id, _)| lines.get(id)).sum();
-            if count > 0 {
-                sum += self.message_lines(count);
-                waiting.insert(*id);
-            }
-        }
-        for (_, proxy) in self.proxies.iter_mut().filter(|(id, _)| waiting.contains(id)) {
-            proxy.bound = true;
-            proxy.written.add(now, 1.0);
-        }
-        if !waiting.is_empty() {
-            self.channel.next = (self.channel.next + 1) % 65536;
-            let (mark, asked) = (MarkId(self.channel.next), waiting.len());
-            out.push(Action::Mark { mark, everyone: false });
-            self.channel.sent.push_back(Sent { mark, at: now, lines: sum, asked, waiting, step });
-        }
-    }
-
     /// Tells the other conductors what is asked for here and what each node serves of it.
     fn tell_peers(&mut self, out: &mut Vec<Action>) {
         let allowed = self.facts.0.get("peers.may_tell") == Some(&Fact::Flag(true));
@@ -1047,15 +980,8 @@
             return;
         }
         self.told_peers = self.now;
-        let joined = |table: &Table| {
-            let own = self.proxies.values().filter(|p| p.joined && p.zone == table.zone);
-            own.map(|proxy| self.demand(proxy, &table.operations)).sum()
-        };
-        let demand: Vec<f64> = self.tables.values().map(joined).collect();
-        let since = self.heard - self.period() * STALE;
-        let proxies = self.proxies.values().filter(|proxy| proxy.joined).count();
-        let rates = self.open_nodes().into_iter().map(|id| (id, self.own_rate(id, since))).collect();
-        out.push(Action::Tell { peer: None, bytes: PeerView::write(proxies, &demand, &rates, 256) });
+        let bytes = self.note(self.heard - self.period() * STALE, NOTE_BYTES);
+        out.push(Action::Tell { peer: None, bytes });
     }
 }
 
--- a/crates/wheelspread/src/measure.rs
+++ b/crates/wheelspread/src/measure.rs
@@ -1,6 +1,7 @@
 //! Sums over what is remembered: rates, demand, traffic. Plain arithmetic, no decision.
 
 use crate::ids::*;
+use crate::interface::Action;
 use crate::state::*;
 use crate::time::{Moment, Span};
 use std::collections::{BTreeMap, BTreeSet};
@@ -29,6 +30,19 @@
     false
 }
 
+/// The one rate under which proxies that ask so much, unequal in size, let in a share of it together.
+pub fn one_rate(mut asked: Vec<f64>, share: f64) -> Option<f64> {
+    asked.sort_by(f64::total_cmp);
+    let (mut left, mut count) = (asked.iter().sum::<f64>() * share, asked.len());
+    for rate in asked {
+        if rate * count as f64 >= left {
+            return Some((left / count as f64).max(0.1));
+        }
+        (left, count) = (left - rate, count - 1);
+    }
+    None
+}
+
 impl Balancer {
     pub(crate) fn fact(&self, name: &str) -> f64 {
         self.facts.number_or(name, 0.0)
@@ -131,4 +145,52 @@
     pub(crate) fn message_lines(&self, lines: usize) -> f64 {
         lines as f64 + self.fact("channel.head_lines") + 1.0
     }
+
+    /// What comes to the proxies of a table, a second, let in or not.
+    pub(crate) fn asked(&self, table: &Table) -> f64 {
+        let own = self.proxies.values().filter(|proxy| proxy.zone == table.zone);
+        own.map(|proxy| self.demand(proxy, &table.operations)).sum()
+    }
+
+    /// What peers are told: proxies joined, what is asked for here, what each open node serves of it.
+    pub(crate) fn note(&self, since: Moment, longest: usize) -> Vec<u8> {
+        let joined = |table: &Table| {
+            let own = self.proxies.values().filter(|p| p.joined && p.zone == table.zone);
+            own.map(|proxy| self.demand(proxy, &table.operations)).sum()
+        };
+        let demand: Vec<f64> = self.tables.values().map(joined).collect();
+        let proxies = self.proxies.values().filter(|proxy| proxy.joined).count();
+        let rates = self.open_nodes().into_iter().map(|id| (id, self.own_rate(id, since))).collect();
+        PeerView::write(proxies, &demand, &rates, longest)
+    }
+
+    /// Books this moment's messages and asks for answers to them.
+    pub(crate) fn register(
+        &mut self,
+        lines: &BTreeMap<TableId, usize>,
+        joined: &BTreeSet<ProxyId>,
+        mut sum: f64,
+        step: bool,
+        out: &mut Vec<Action>,
+    ) {
+        let (now, mut waiting) = (self.now, joined.clone());
+        for (id, proxy) in self.proxies.iter().filter(|(_, proxy)| proxy.bound) {
+            let own = self.tables.iter().filter(|(_, table)| table.zone == proxy.zone);
+            let count: usize = own.filter_map(|(id, _)| lines.get(id)).sum();
+            if count > 0 {
+                sum += self.message_lines(count);
+                waiting.insert(*id);
+            }
+        }
+        for (_, proxy) in self.proxies.iter_mut().filter(|(id, _)| waiting.contains(id)) {
+            proxy.bound = true;
+            proxy.written.add(now, 1.0);
+        }
+        if !waiting.is_empty() {
+            self.channel.next = (self.channel.next + 1) % 65536;
+            let (mark, asked) = (MarkId(self.channel.next), waiting.len());
+            out.push(Action::Mark { mark, everyone: false });
+            self.channel.sent.push_back(Sent { mark, at: now, lines: sum, asked, waiting, step });
+        }
+    }
 }
--- a/crates/wheelspread/src/state.rs
+++ b/crates/wheelspread/src/state.rs
@@ -40,6 +40,42 @@
     pub(crate) next_tick: Moment,
 }
 
+impl Balancer {
+    pub(crate) fn new(
+        now: Moment,
+        seed: u64,
+        facts: Facts,
+        operations: Vec<Operation>,
+        tables: BTreeMap<TableId, Table>,
+    ) -> Balancer {
+        let (nodes, paths, proxies, peers) = Default::default();
+        let (channel, joins, quickest) = Default::default();
+        let (let_in, cut) = Default::default();
+        let admission = Admission { let_in, cut, ease: 1.0, eased: now, strained: false };
+        Balancer {
+            random: Pcg::new(seed),
+            heard: now,
+            news: false,
+            moved: true,
+            told_peers: now,
+            ticks: 0,
+            next_tick: now,
+            facts,
+            now,
+            operations,
+            nodes,
+            paths,
+            proxies,
+            tables,
+            peers,
+            channel,
+            joins,
+            admission,
+            quickest,
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 pub struct Admission {
     /// Share let in by table and operation.
