--- a/crates/wheelspread/src/balance.rs
+++ b/crates/wheelspread/src/balance.rs
@@ -776,7 +776,7 @@
             for operation in &table.operations {
                 let before = self.admission.let_in.get(&(*id, *operation)).copied().unwrap_or(1.0);
                 let share = if local && able > 0.0 { shares[operation].min(most) } else { shares[operation] };
-                let rise = before + LEVEL_RISE;
+                let rise = before + LEVEL_RISE * (before + 0.2).min(1.0);
                 let share = if self.admission.strained || local { share.min(rise) } else { share.max(rise) };
                 let share = if table.lines.is_empty() { share } else { share.min(cold_only) };
                 self.admission.let_in.insert((*id, *operation), share.clamp(LEAST_LEVEL[1], 1.0));
