--- a/crates/wheelspread/src/balance.rs
+++ b/crates/wheelspread/src/balance.rs
@@ -117,6 +117,7 @@
 const NOTE_BYTES: usize = 256; // as many as a note may have
 const PRIOR: f64 = 3.0; // full periods: what the kind's mean counts beside a node's own sums
 const EVIDENCE: f64 = 5.0; // invocations: as many weigh as half a full period
+const FIRST_SUMS: f64 = 1.5; // full periods that teach no capacity yet
 const LEARN: f64 = 0.12; // of the distance to the fleet's time, each period
 const ERROR_COST: f64 = 2.0; // to the latency objective: what an errored try counts as
 const UNHEARD: f64 = 0.15; // of demand: with more of it out of reach, sums teach nothing
@@ -358,9 +359,11 @@
             }
             let weight = fresh.tries / (fresh.tries + EVIDENCE);
             node.evidence += 2.0 * weight;
+            let erring = fresh.errored > fresh.tries * 0.25;
             match node.utilization.get().and(pressure) {
-                // A node that turns many tries away shows its queue, not its speed.
-                Some(busy) if busy > 0.1 && rate > 0.0 && fresh.errored < fresh.tries * 0.25 => {
+                // The first reports speak of the time before the load came, and a node that errs much shows
+                // its queue, not its speed.
+                Some(busy) if busy > 0.1 && rate > 0.0 && node.evidence > FIRST_SUMS && !erring => {
                     node.capacity.feed((rate / busy).ln(), news * (2.0 * weight).min(1.0), memory);
                 }
                 Some(_) => {}
