--- a/crates/wheelspread/src/balance.rs
+++ b/crates/wheelspread/src/balance.rs
@@ -114,7 +114,6 @@
 const STALE: f64 = 3.0; // to the sums' period: a path not heard of for longer has no rate
 const PEER_MEMORY: f64 = 12.0; // to the sums' period: how long a peer's note stands
 const PEER_PACE: f64 = 2.0; // sums' periods between two notes
-const NOTE_BYTES: usize = 256; // as many as a note may have
 const PRIOR: f64 = 3.0; // full periods: what the kind's mean counts beside a node's own sums
 const EVIDENCE: f64 = 5.0; // invocations: as many weigh as half a full period
 const FIRST_SUMS: f64 = 1.5; // full periods that teach no capacity yet
@@ -122,9 +121,9 @@
 const ERROR_COST: f64 = 2.0; // to the latency objective: what an errored try counts as
 const UNHEARD: f64 = 0.15; // of demand: with more of it out of reach, sums teach nothing
 const USUAL_LOAD: f64 = 0.6; // of capacity, assumed before anything is heard
-const COMFORT: f64 = 0.5; // of a zone's capacity: below it traffic stays at home
+const COMFORT: f64 = 0.6; // of a zone's capacity: below it traffic stays at home
 const COMFORT_PRICE: f64 = 3.0; // to the price of crossing zones: how much later it leaves
-const COMFORT_OVER: f64 = 0.05; // of capacity, over the fleet's part
+const COMFORT_OVER: f64 = 0.08; // of capacity, over the fleet's part
 const FULL: f64 = 0.88; // of capacity: what admission aims at under overload
 const PROVEN: f64 = 0.95; // of the most a node was lately seen to serve: it can do that again
 const STRAINED: f64 = 0.72; // of capacity: measured load above which admission may cut
@@ -202,9 +201,7 @@
                 self.peers.insert(*from, view.ok_or(format!("note of {} bytes", bytes.len()))?);
             }
             Event::Probed { node, .. } => drop(self.nodes.get(node).ok_or(format!("unknown {node:?}"))?),
-            Event::Timer { .. } => {}
-            // Sites with slices are not decided yet.
-            Event::SliceOffered { .. } | Event::SliceCharge { .. } | Event::SliceLine { .. } => {}
+            _ => {} // timers only wake the module; sites with slices are not decided yet
         }
         Ok(())
     }
@@ -241,9 +238,7 @@
             (node.capacity, node.utilization, node.sojourn) = Default::default();
             (node.evidence, node.carried, node.peak) = (0.0, 0.0, 0.0);
         }
-        if row.3 != Measures::Keep {
-            self.paths.retain(|key, _| key.1 != id);
-        }
+        self.paths.retain(|key, _| key.1 != id || row.3 == Measures::Keep);
     }
 
     fn joined(&mut self, id: ProxyId, zone: ZoneId, usual_rate: f64) {
@@ -844,15 +839,21 @@
         self.channel.sent.iter().filter(|sent| !Self::answered(sent)).map(|sent| sent.lines).sum()
     }
 
-    fn step_due(&self) -> bool {
-        let lines = self.outstanding() <= STEP_LINES * self.fact("channel.lines_waiting_at_most");
-        let last = self.channel.sent.iter().rev().find(|sent| sent.step);
-        let waited = |sent: &Sent| self.now - sent.at >= Span::from_seconds(STEP_WAIT);
+    /// Whether steps and levels may be written. They share one pace: on their own, levels once took all
+    /// the messages allowed under strain and no step went out for 20 s.
+    fn may_order(&self) -> bool {
         let early = self.moved && self.may_write(EARLY_WRITES);
         let pace = if early { self.period() * 0.2 } else { self.pace(STEP_WRITES) };
-        let paced = self.channel.last_step.is_none_or(|at| self.now - at >= pace)
-            && self.may_write(STEP_WRITES + 0.1);
-        lines && paced && last.is_none_or(|sent| Self::answered(sent) || waited(sent))
+        let paced = self.channel.last_orders.is_none_or(|at| self.now - at >= pace);
+        paced && self.may_write(STEP_WRITES + 0.1)
+    }
+
+    /// Whether the last step has arrived, or long enough ago, and the channel is nearly empty.
+    fn may_step(&self) -> bool {
+        let last = self.channel.sent.iter().rev().find(|sent| sent.step);
+        let waited = |sent: &Sent| self.now - sent.at >= Span::from_seconds(STEP_WAIT);
+        last.is_none_or(|sent| Self::answered(sent) || waited(sent))
+            && self.outstanding() <= STEP_LINES * self.fact("channel.lines_waiting_at_most")
     }
 
     // ---- what goes out ----
@@ -880,14 +881,18 @@
         let mut draft: Orders = self.tables.iter().map(|(id, table)| (*id, table.lines.clone())).collect();
         self.urgent(&targets, &mut draft);
         let mut lines: BTreeMap<TableId, usize> = BTreeMap::new();
-        let step = self.step_due();
+        let orders = self.may_order();
+        let step = orders && self.may_step();
         if step {
             self.plan(&targets, &mut draft);
-            (self.channel.last_step, self.moved) = (Some(now), false);
+            self.moved = false;
         }
         self.guard(&mut draft);
         self.publish(&draft, &mut lines, out);
-        self.publish_levels(step, &mut lines, out);
+        if orders {
+            self.channel.last_orders = Some(now);
+            self.publish_levels(&mut lines, out);
+        }
         let (joined, join_lines) = self.join(out);
         self.register(&lines, &joined, join_lines, step, out);
         self.tell_peers(out);
@@ -927,10 +932,8 @@
         }
     }
 
-    fn publish_levels(&mut self, step: bool, lines: &mut BTreeMap<TableId, usize>, out: &mut Vec<Action>) {
-        let waited = |at: Moment, least: Span| self.now - at >= least;
-        let pace = if step { self.period() } else { self.pace(STEP_WRITES) };
-        if self.channel.last_levels.is_some_and(|at| !waited(at, pace)) || !self.may_write(GUARD_WRITES) {
+    fn publish_levels(&mut self, lines: &mut BTreeMap<TableId, usize>, out: &mut Vec<Action>) {
+        if self.channel.last_levels.is_some_and(|at| self.now - at < self.period()) {
             return;
         }
         self.channel.last_levels = Some(self.now);
@@ -983,7 +986,7 @@
             return;
         }
         self.told_peers = self.now;
-        let bytes = self.note(self.heard - self.period() * STALE, NOTE_BYTES);
+        let bytes = self.note(self.heard - self.period() * STALE, 256);
         out.push(Action::Tell { peer: None, bytes });
     }
 }
--- a/crates/wheelspread/src/state.rs
+++ b/crates/wheelspread/src/state.rs
@@ -297,7 +297,7 @@
 pub struct Channel {
     pub sent: VecDeque<Sent>,
     pub next: u32,
-    pub last_step: Option<Moment>,
+    pub last_orders: Option<Moment>,
     pub last_levels: Option<Moment>,
 }
 
