--- a/crates/wheelspread/src/balance.rs
+++ b/crates/wheelspread/src/balance.rs
@@ -263,7 +263,7 @@
         let Some(node) = self.nodes.get_mut(&id) else { return };
         if served > 0.0 && *latency > Span::ZERO {
             let covers = *over * (served / (served + 2.0));
-            node.sojourn.feed(latency.seconds().min(60.0), covers, memory * 0.5);
+            node.sojourn.feed(latency.seconds().min(60.0), covers, memory * 0.3);
         }
         if let Some(busy) = busy.filter(|busy| *busy >= 0.0) {
             node.utilization.feed(busy.min(1.0), *over, memory * 0.5);
