--- a/crates/wheelspread/src/balance.rs
+++ b/crates/wheelspread/src/balance.rs
@@ -6,7 +6,7 @@
 //! `plan` orders the way there so that no node gets more than its room while tables change.
 //! Six mechanisms stand beside it:
 //! 1. speed estimate: `learn`, `able`      4. overload admission: `admit`, RETRY
-//! 2. node health: `judge`, STANDING       5. channel ledger: `may_write`, `outstanding`
+//! 2. node health: `judge`, STANDING       5. channel ledger: `may_order`, `may_step`
 //! 3. cold guard: `cold_limit`, `guard`    6. joining and restart recovery: `join`, `urgent`, LIFE
 
 use crate::facts::{Fact, Facts};
@@ -76,28 +76,20 @@
     (Standing::Trial, Met::Working, Standing::Clear, Hold::Same),
 ];
 
-/// Retry orders: kind of operation, whether every repeat meets the same guard, strained; the order.
-/// Under strain repeats only add load, so they stop.
-const RETRY: &[(Repeat, bool, bool, Retry)] = &[
-    (Repeat::Idempotent, true, false, Retry::OnceAfterAnyFailure),
-    (Repeat::Fingerprinted, true, false, Retry::OnceAfterAnyFailure),
-    (Repeat::Fingerprinted, false, false, Retry::AfterProofItNeverRan),
-    (Repeat::SideEffecting, false, false, Retry::AfterProofItNeverRan),
+/// Retry orders: whether a repeat can't take effect twice, how busy nodes are; the order. A try that may
+/// be followed is given up early, so unless nodes are calm each slow answer is work done twice; under
+/// strain (no row) even a proven repeat only adds load.
+const RETRY: &[(bool, Busy, Retry)] = &[
+    (true, Busy::Calm, Retry::OnceAfterAnyFailure),
+    (true, Busy::Usual, Retry::AfterProofItNeverRan),
+    (false, Busy::Calm, Retry::AfterProofItNeverRan),
+    (false, Busy::Usual, Retry::AfterProofItNeverRan),
 ];
 
-const NEEDED: &[&str] = &[
-    "conductor.count",
-    "zone.count",
-    "operation.count",
-    "channel.lines_waiting_at_most",
-    "channel.head_lines",
-    "channel.delay_at_most",
-    "proxy.count",
-    "sums.period",
-    "rules.cold_overload_factor",
-    "rules.cold_start_share",
-    "rules.warm_after",
-];
+/// Settings without which nothing can be decided.
+const NEEDED: &str = "conductor.count zone.count operation.count proxy.count sums.period \
+    channel.lines_waiting_at_most channel.head_lines channel.delay_at_most \
+    rules.cold_overload_factor rules.cold_start_share rules.warm_after";
 
 // Ratios, each to the figure its comment names.
 const ROOM_START: f64 = 1.5; // to a node's part of traffic (design)
@@ -120,6 +112,7 @@
 const LEARN: f64 = 0.12; // of the distance to the fleet's time, each period
 const ERROR_COST: f64 = 2.0; // to the latency objective: what an errored try counts as
 const UNHEARD: f64 = 0.15; // of demand: with more of it out of reach, sums teach nothing
+const SLOWER: (f64, f64, f64) = (0.3, 0.4, 1.25); // power of the ratio of times, least and most it changes
 const USUAL_LOAD: f64 = 0.6; // of capacity, assumed before anything is heard
 const COMFORT: f64 = 0.6; // of a zone's capacity: below it traffic stays at home
 const COMFORT_PRICE: f64 = 3.0; // to the price of crossing zones: how much later it leaves
@@ -127,6 +120,7 @@
 const FULL: f64 = 0.88; // of capacity: what admission aims at under overload
 const PROVEN: f64 = 0.95; // of the most a node was lately seen to serve: it can do that again
 const STRAINED: f64 = 0.72; // of capacity: measured load above which admission may cut
+const CALM: (f64, f64) = (0.6, 8.0); // the same, and sums' periods: below it for so long nodes are calm
 const ERRING: f64 = 0.06; // of all tries: with more, the fleet is overrun whatever else is measured
 const EASE: (f64, f64, f64) = (0.85, 0.5, 0.04); // each cut that errors call for, the least, each return
 const EASE_WAITS: f64 = 3.0; // sums' periods between two such cuts
@@ -151,7 +145,7 @@
 
 impl Balancer {
     pub fn start(now: Moment, seed: u64, facts: Facts) -> Result<Balancer, String> {
-        NEEDED.iter().try_for_each(|name| facts.number(name).map(drop))?;
+        NEEDED.split_whitespace().try_for_each(|name| facts.number(name).map(drop))?;
         let count = facts.number("operation.count")?.clamp(0.0, 16.0) as u8;
         let operations = (0..count).map(|at| Operation::read(&facts, at)).collect::<Result<Vec<_>, _>>()?;
         let tables = Table::all(&operations, facts.number("zone.count")?.clamp(0.0, 1e4) as u16);
@@ -397,17 +391,6 @@
         }
     }
 
-    /// What `of` gives for each unit of listed weight, over the warm nodes of a kind, else of the fleet.
-    fn by_weight(&self, kind: KindId, of: impl Fn(&Node) -> Option<f64>) -> Option<f64> {
-        let mean = |counts: &dyn Fn(&Node) -> bool| {
-            let warm = self.nodes.values().filter(|node| node.life == Life::Warm && counts(node));
-            let known = warm.filter_map(|node| Some((of(node)?, node.weight)));
-            let (sum, weights) = known.fold((0.0, 0.0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
-            (weights > 0.0).then(|| sum / weights)
-        };
-        mean(&|node| node.kind == kind).or_else(|| mean(&|_| true))
-    }
-
     /// What a warm node of this kind and listed weight does.
     fn full(&self, node: &Node) -> f64 {
         let known = |n: &Node| n.capacity.get().filter(|_| n.evidence > PRIOR).map(f64::exp);
@@ -437,6 +420,17 @@
         mixed.exp().clamp(prior * 0.1, prior * 10.0)
     }
 
+    /// The same, less where invocations take longer than the fleet's do: at equal utilization a slow
+    /// node misses the objective before a quick one does.
+    fn worth(&self, id: NodeId) -> f64 {
+        let node = &self.nodes[&id];
+        let slower = match (node.utilization.get(), node.sojourn.get()) {
+            (Some(_), Some(time)) => (self.usual_time() / time).powf(SLOWER.0),
+            _ => 1.0,
+        };
+        self.able(id) * slower.clamp(SLOWER.1, SLOWER.2)
+    }
+
     // ---- mechanism 2: node health ----
 
     /// Takes a node out of a zone's tables when most tries err there and not elsewhere, whatever the
@@ -546,7 +540,7 @@
     /// the zone's capacity, or somewhat above the fleet's part; the rest goes where there is spare.
     fn targets(&self) -> Orders {
         let open: Vec<(NodeId, ZoneId, f64)> =
-            self.open_nodes().iter().map(|id| (*id, self.nodes[id].zone, self.able(*id))).collect();
+            self.open_nodes().iter().map(|id| (*id, self.nodes[id].zone, self.worth(*id))).collect();
         let demand = self.zone_demand(self.peers_since());
         let asked = |zone: ZoneId, stays: bool| demand.get(&(zone, stays)).copied().unwrap_or(0.0);
         let capacity = |from: ZoneId, at: ZoneId| -> f64 {
@@ -745,7 +739,16 @@
             self.admission.ease = (self.admission.ease * EASE.0).max(EASE.1);
             self.admission.eased = self.now;
         }
-        self.admission.strained = strain >= STRAINED;
+        self.admission.busy = match strain {
+            strain if strain >= STRAINED => Busy::Strained,
+            strain if strain < CALM.0 && self.now - self.admission.excited > self.period() * CALM.1 => {
+                Busy::Calm
+            }
+            _ => Busy::Usual,
+        };
+        if strain >= CALM.0 {
+            self.admission.excited = self.now;
+        }
         let nodes = self.open_nodes();
         let demand = self.zone_demand(self.peers_since());
         let all: f64 = demand.values().sum();
@@ -775,7 +778,11 @@
                 let before = self.admission.let_in.get(&(*id, *operation)).copied().unwrap_or(1.0);
                 let share = if local && able > 0.0 { shares[operation].min(most) } else { shares[operation] };
                 let rise = before + LEVEL_RISE * (before + 0.2).min(1.0);
-                let share = if self.admission.strained || local { share.min(rise) } else { share.max(rise) };
+                let share = if self.admission.busy == Busy::Strained || local {
+                    share.min(rise)
+                } else {
+                    share.max(rise)
+                };
                 let share = if table.lines.is_empty() { share } else { share.min(cold_only) };
                 self.admission.let_in.insert((*id, *operation), share.clamp(LEAST_LEVEL[1], 1.0));
             }
@@ -809,27 +816,12 @@
             Repeat::Fingerprinted => operation.group == "all" && operation.window > operation.timeout,
             Repeat::SideEffecting => false,
         };
-        let case = (operation.effect, guarded, self.admission.strained);
-        RETRY.iter().find(|row| (row.0, row.1, row.2) == case).map_or(Retry::Never, |row| row.3)
+        let row = RETRY.iter().find(|row| (row.0, row.1) == (guarded, self.admission.busy));
+        row.map_or(Retry::Never, |row| row.2)
     }
 
     // ---- mechanism 5: channel ledger ----
 
-    /// Whether every joined proxy may still be written to, within a part of what its cap allows.
-    fn may_write(&self, part: f64) -> bool {
-        let cap = self.fact("channel.messages_at_most");
-        let joined = self.proxies.values().filter(|proxy| proxy.joined);
-        cap <= 0.0
-            || joined.map(|proxy| proxy.written.whole(self.now)).fold(0.0, f64::max) + 1.0 <= cap * part
-    }
-
-    /// The least time between two writings that keep to a part of the cap.
-    fn pace(&self, part: f64) -> Span {
-        let cap = self.fact("channel.messages_at_most");
-        let pace = if cap > 0.0 { self.fact("channel.messages_window") / (cap * part) } else { 0.0 };
-        self.period().max(Span::from_seconds(pace))
-    }
-
     fn answered(sent: &Sent) -> bool {
         sent.waiting.len() as f64 <= sent.asked as f64 * (1.0 - ACK_SHARE)
     }
--- a/crates/wheelspread/src/measure.rs
+++ b/crates/wheelspread/src/measure.rs
@@ -193,4 +193,37 @@
             self.channel.sent.push_back(Sent { mark, at: now, lines: sum, asked, waiting, step });
         }
     }
+
+    /// What `of` gives for each unit of listed weight, over the warm nodes of a kind, else of the fleet.
+    pub(crate) fn by_weight(&self, kind: KindId, of: impl Fn(&Node) -> Option<f64>) -> Option<f64> {
+        let mean = |counts: &dyn Fn(&Node) -> bool| {
+            let warm = self.nodes.values().filter(|node| node.life == Life::Warm && counts(node));
+            let known = warm.filter_map(|node| Some((of(node)?, node.weight)));
+            let (sum, weights) = known.fold((0.0, 0.0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
+            (weights > 0.0).then(|| sum / weights)
+        };
+        mean(&|node| node.kind == kind).or_else(|| mean(&|_| true))
+    }
+
+    /// The mean time of an invocation (geometric, by what nodes serve).
+    pub(crate) fn usual_time(&self) -> f64 {
+        let known = self.nodes.values().filter_map(|n| Some((n.sojourn.get()?.max(1e-6).ln(), n.peak)));
+        let (sum, weights) = known.fold((0.0, 0.0), |sum, (time, rate)| (sum.0 + time * rate, sum.1 + rate));
+        (sum / weights.max(1e-9)).exp()
+    }
+
+    /// Whether every joined proxy may still be written to, within a part of what its cap allows.
+    pub(crate) fn may_write(&self, part: f64) -> bool {
+        let cap = self.fact("channel.messages_at_most");
+        let joined = self.proxies.values().filter(|proxy| proxy.joined);
+        cap <= 0.0
+            || joined.map(|proxy| proxy.written.whole(self.now)).fold(0.0, f64::max) + 1.0 <= cap * part
+    }
+
+    /// The least time between two writings that keep to a part of the cap.
+    pub(crate) fn pace(&self, part: f64) -> Span {
+        let cap = self.fact("channel.messages_at_most");
+        let pace = if cap > 0.0 { self.fact("channel.messages_window") / (cap * part) } else { 0.0 };
+        self.period().max(Span::from_seconds(pace))
+    }
 }
--- a/crates/wheelspread/src/state.rs
+++ b/crates/wheelspread/src/state.rs
@@ -51,7 +51,7 @@
         let (nodes, paths, proxies, peers) = Default::default();
         let (channel, joins, quickest) = Default::default();
         let (let_in, cut) = Default::default();
-        let admission = Admission { let_in, cut, ease: 1.0, eased: now, strained: false };
+        let admission = Admission { let_in, cut, ease: 1.0, eased: now, busy: Busy::Usual, excited: now };
         Balancer {
             random: Pcg::new(seed),
             heard: now,
@@ -76,6 +76,14 @@
     }
 }
 
+/// How busy the fleet is as a whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Busy {
+    Calm,
+    Usual,
+    Strained,
+}
+
 #[derive(Clone, Debug)]
 pub struct Admission {
     /// Share let in by table and operation.
@@ -84,7 +92,9 @@
     pub cut: Option<(TableId, f64)>,
     pub ease: f64,
     pub eased: Moment,
-    pub strained: bool,
+    pub busy: Busy,
+    /// When the fleet was last anything but calm.
+    pub excited: Moment,
 }
 
 /// Where a node stands by the list and the clock.
