--- a/crates/wheelspread/src/balance.rs
+++ b/crates/wheelspread/src/balance.rs
@@ -129,6 +129,7 @@
 const LEVEL_MOVES: f64 = 0.04; // to a level: smaller changes are not sent
 const COLD_GUARD: f64 = 0.5; // to the load over a whole window that would push a cold node over
 const GUARD_SLACK: f64 = 1.3; // to that limit, before lines are lowered to it
+const BLIND: f64 = 2.0; // sums' periods after the first sums since the start
 const AVOIDED: f64 = 0.1; // chance of such a run of errors: with more, proxies avoid many nodes
 const FAILING: f64 = 0.45; // of tries, beyond twice what others meet
 const FEWEST_ERRORS: f64 = 3.0; // tries: fewer prove nothing
@@ -274,6 +275,7 @@
             path.sums.add(now, Work { tries: *tries, errored: *errored, seconds: 0.0 });
         }
         (self.heard, self.news) = (now, true);
+        self.sums_since.get_or_insert(now);
     }
 
     // ---- mechanism 1: how much a node can do ----
@@ -508,7 +510,10 @@
         // Proxies that avoid what errs leave the whole load to the lines that don't, however small their
         // weight. While runs of errors that long are common, a cold node gets no line beside warm ones.
         let (met, run) = (self.met(2, |_| true), self.fact("proxy.errors_until_avoided"));
-        let avoided = run > 0.0 && (met.errored / met.tries.max(1.0)).powf(run) > AVOIDED;
+        let erring = (met.errored / met.tries.max(1.0)).powf(run) > AVOIDED;
+        // After a restart nothing is known of that, so it counts as common until sums have come.
+        let blind = self.sums_since.is_none_or(|since| self.now - since < self.period() * BLIND);
+        let avoided = run > 0.0 && (erring || blind);
         let cold = |id: &NodeId| self.nodes.get(id).is_some_and(|node| node.life == Life::Cold);
         for lines in draft.values_mut().filter(|lines| avoided && !lines.keys().all(cold)) {
             lines.retain(|id, _| !cold(id));
--- a/crates/wheelspread/src/state.rs
+++ b/crates/wheelspread/src/state.rs
@@ -33,6 +33,8 @@
     /// When sums last came, and whether any have not been learnt from.
     pub(crate) heard: Moment,
     pub(crate) news: bool,
+    /// When the first sums since the start came.
+    pub(crate) sums_since: Option<Moment>,
     /// Whether the list or health changed since the last step.
     pub(crate) moved: bool,
     pub(crate) told_peers: Moment,
@@ -56,6 +58,7 @@
             random: Pcg::new(seed),
             heard: now,
             news: false,
+            sums_since: None,
             moved: true,
             told_peers: now,
             ticks: 0,
