--- a/crates/wheelspread/src/balance.rs
+++ b/crates/wheelspread/src/balance.rs
@@ -131,7 +131,8 @@
 const GUARD_SLACK: f64 = 1.3; // to that limit, before lines are lowered to it
 const BLIND: f64 = 2.0; // sums' periods after the first sums since the start
 const AVOIDED: f64 = 0.1; // chance of such a run of errors: with more, proxies avoid many nodes
-const FAILING: f64 = 0.45; // of tries, beyond twice what others meet
+const FAILING: f64 = 0.8; // of tries
+const ALIKE: f64 = 0.4; // of the others' tries: erring so much, they all err alike
 const FEWEST_ERRORS: f64 = 3.0; // tries: fewer prove nothing
 const JUDGED_OVER: usize = 5; // sums' periods
 const OVERRUN: f64 = 0.7; // of the latency objective: errors of so slow a node are its load's
@@ -451,7 +452,7 @@
             let slow = self.nodes.get(&key.1).and_then(|node| node.sojourn.get());
             let overrun =
                 served >= FEWEST_ERRORS && slow.is_some_and(|time| time > self.objective() * OVERRUN);
-            let mostly = recent.errored > recent.tries * (FAILING + 2.0 * others);
+            let mostly = others < ALIKE && recent.errored > recent.tries * FAILING;
             let met = match path.standing {
                 Standing::Clear if overrun || (out + 1) as f64 >= nodes * OUT_AT_MOST => continue,
                 Standing::Clear if mostly && recent.errored >= FEWEST_ERRORS => Met::Failing,
