--- a/crates/wheelspread/src/balance.rs
+++ b/crates/wheelspread/src/balance.rs
@@ -351,7 +351,9 @@
             }
             let weight = fresh.tries / (fresh.tries + EVIDENCE);
             node.evidence += 2.0 * weight;
-            let erring = fresh.errored > fresh.tries * 0.25;
+            // Its queue is better than nothing: with no figure at all, as after a start in the middle of an
+            // overload, admission would never cut.
+            let erring = fresh.errored > fresh.tries * 0.25 && node.capacity.get().is_some();
             match node.utilization.get().and(pressure) {
                 // The first reports speak of the time before the load came, and a node that errs much shows
                 // its queue, not its speed.
--- a/crates/wheelspread/src/scenarios.rs
+++ b/crates/wheelspread/src/scenarios.rs
@@ -358,6 +358,7 @@
 #[test_case(include_str!("../scenarios/drain.txt"); "drained and gone nodes leave at once")]
 #[test_case(include_str!("../scenarios/drain_under_cap.txt"); "repeated cuts leave messages for a drain")]
 #[test_case(include_str!("../scenarios/restart_cold.txt"); "a newcomer waits for the first sums after a start")]
+#[test_case(include_str!("../scenarios/restart_overload.txt"); "a start in the middle of an overload cuts")]
 #[test_case(include_str!("../scenarios/cold.txt"); "cold nodes stay under their limit")]
 #[test_case(include_str!("../scenarios/cold_avoided.txt"); "cold nodes stay out while proxies avoid the rest")]
 #[test_case(include_str!("../scenarios/storm.txt"); "a storm of joins stays within the channel")]
