--- a/crates/wheelspread/src/balance.rs
+++ b/crates/wheelspread/src/balance.rs
@@ -9,7 +9,7 @@
 //! 2. node health: `judge`, STANDING       5. channel ledger: `may_order`, `may_step`
 //! 3. cold guard: `cold_limit`, `guard`    6. joining and restart recovery: `join`, `urgent`, LIFE
 
-use crate::facts::{Fact, Facts};
+use crate::facts::Facts;
 use crate::ids::*;
 use crate::interface::*;
 use crate::measure::{load, one_rate, reaches, shares};
@@ -110,6 +110,9 @@
 const EVIDENCE: f64 = 5.0; // invocations: as many weigh as half a full period
 const FIRST_SUMS: f64 = 1.5; // full periods that teach no capacity yet
 const LEARN: f64 = 0.12; // of the distance to the fleet's time, each period
+const QUEUE: (f64, f64, f64) = (0.12, 3.4, 0.65); // wait at the quickest, and the shape of load over wait
+const FORGET: (f64, f64) = (1.003, 0.02); // each period: the quickest time; a figure's distance to its kind
+const ERRS_MUCH: f64 = 0.25; // of a node's tries: its times and rates are its queue's
 const ERROR_COST: f64 = 2.0; // to the latency objective: what an errored try counts as
 const UNHEARD: f64 = 0.15; // of demand: with more of it out of reach, sums teach nothing
 const SLOWER: (f64, f64, f64) = (0.3, 0.4, 1.25); // power of the ratio of times, least and most it changes
@@ -131,8 +134,7 @@
 const GUARD_SLACK: f64 = 1.3; // to that limit, before lines are lowered to it
 const BLIND: f64 = 2.0; // sums' periods after the first sums since the start
 const AVOIDED: f64 = 0.1; // chance of such a run of errors: with more, proxies avoid many nodes
-const FAILING: f64 = 0.8; // of tries
-const ALIKE: f64 = 0.4; // of the others' tries: erring so much, they all err alike
+const FAILING: (f64, f64) = (0.8, 0.4); // of tries; of the others' tries: erring so much, all err alike
 const FEWEST_ERRORS: f64 = 3.0; // tries: fewer prove nothing
 const JUDGED_OVER: usize = 5; // sums' periods
 const OVERRUN: f64 = 0.7; // of the latency objective: errors of so slow a node are its load's
@@ -196,7 +198,6 @@
                 let view = PeerView::read(bytes, &self.tables, now);
                 self.peers.insert(*from, view.ok_or(format!("note of {} bytes", bytes.len()))?);
             }
-            Event::Probed { node, .. } => drop(self.nodes.get(node).ok_or(format!("unknown {node:?}"))?),
             _ => {} // timers only wake the module; sites with slices are not decided yet
         }
         Ok(())
@@ -294,8 +295,8 @@
     /// Queue lengths and service times don't serve here: they stay at nothing until it is too late.
     fn pressure(&self, node: &Node) -> Option<f64> {
         node.utilization.get().or_else(|| {
-            let wait = (node.sojourn.get()? / self.quickest.get(&node.kind)? - 1.0).max(0.0) + 0.12;
-            let y = 3.4 * wait.powf(0.65);
+            let wait = (node.sojourn.get()? / self.quickest.get(&node.kind)? - 1.0).max(0.0) + QUEUE.0;
+            let y = QUEUE.1 * wait.powf(QUEUE.2);
             Some(y / (1.0 + y))
         })
     }
@@ -310,7 +311,7 @@
             known.sort_by(f64::total_cmp);
             if let Some(middle) = known.get(known.len() / 2) {
                 let least = self.quickest.entry(kind).or_insert(*middle);
-                *least = (*least * 1.003).min(*middle);
+                *least = (*least * FORGET.0).min(*middle);
             }
         }
     }
@@ -353,7 +354,7 @@
             node.evidence += 2.0 * weight;
             // Its queue is better than nothing: with no figure at all, as after a start in the middle of an
             // overload, admission would never cut.
-            let erring = fresh.errored > fresh.tries * 0.25 && node.capacity.get().is_some();
+            let erring = fresh.errored > fresh.tries * ERRS_MUCH && node.capacity.get().is_some();
             match node.utilization.get().and(pressure) {
                 // The first reports speak of the time before the load came, and a node that errs much shows
                 // its queue, not its speed.
@@ -364,7 +365,7 @@
                 None => {
                     let old = node.capacity.get().unwrap_or(prior);
                     let step = LEARN * weight * (sum / tries - times[&id]).clamp(-1.0, 1.0);
-                    node.capacity = Smooth::at(old + step - 0.02 * (old - prior));
+                    node.capacity = Smooth::at(old + step - FORGET.1 * (old - prior));
                 }
             }
             if node.sojourn.get().is_some_and(|sojourn| sojourn < objective * HELD) {
@@ -454,7 +455,7 @@
             let slow = self.nodes.get(&key.1).and_then(|node| node.sojourn.get());
             let overrun =
                 served >= FEWEST_ERRORS && slow.is_some_and(|time| time > self.objective() * OVERRUN);
-            let mostly = others < ALIKE && recent.errored > recent.tries * FAILING;
+            let mostly = others < FAILING.1 && recent.errored > recent.tries * FAILING.0;
             let met = match path.standing {
                 Standing::Clear if overrun || (out + 1) as f64 >= nodes * OUT_AT_MOST => continue,
                 Standing::Clear if mostly && recent.errored >= FEWEST_ERRORS => Met::Failing,
@@ -980,9 +981,8 @@
 
     /// Tells the other conductors what is asked for here and what each node serves of it.
     fn tell_peers(&mut self, out: &mut Vec<Action>) {
-        let allowed = self.facts.0.get("peers.may_tell") == Some(&Fact::Flag(true));
-        let alone = self.fact("conductor.count") < 2.0;
-        if !allowed || alone || self.now - self.told_peers < self.period() * PEER_PACE {
+        let waited = self.now - self.told_peers >= self.period() * PEER_PACE;
+        if !(waited && self.facts.flag_or("peers.may_tell", false) && self.fact("conductor.count") > 1.0) {
             return;
         }
         self.told_peers = self.now;
