--- a/crates/wheelspread/src/balance.rs
+++ b/crates/wheelspread/src/balance.rs
@@ -12,7 +12,7 @@
 use crate::facts::Facts;
 use crate::ids::*;
 use crate::interface::*;
-use crate::measure::{load, one_rate, reaches, shares};
+use crate::measure::{flows, load, reaches, scatter, shares};
 use crate::ring::Ring;
 pub use crate::state::Balancer;
 use crate::state::*;
@@ -92,20 +92,16 @@
     rules.cold_overload_factor rules.cold_start_share rules.warm_after";
 
 // Ratios, each to the figure its comment names.
-const ROOM_START: f64 = 1.5; // to a node's part of traffic (design)
-const ROOM_FRESH: f64 = 0.5; // to the same, for a cold node (design)
-const ROOM_RISE: f64 = 1.25; // to the most carried while latency held: how far a step may go beyond it
+const ROOM: (f64, f64, f64) = (1.5, 0.5, 1.25); // to a part of traffic; if cold (design); to the most carried
 const HELD: f64 = 0.5; // of the latency objective: mean times below it count as latency held
 const ACK_SHARE: f64 = 0.9; // of the proxies asked (design)
 const STEP_WAIT: f64 = 1.0; // seconds at most for those acks (design)
-const LINE_MOVES: f64 = 0.06; // to a line's weight: smaller changes are not sent
-const STEP_STARTS: f64 = 0.12; // to a line's weight: a change that starts a step by itself
+const MOVES: (f64, f64) = (0.06, 0.12); // to a line's weight: smaller is not sent; starts a step by itself
 const WEIGHT_SUM: f64 = 100.0; // of a table that is written for the first time
 const DUST: f64 = 0.002; // of a table's traffic: smaller lines are left out
 const MEMORY: f64 = 6.0; // to the sums' period: how long measures are remembered
 const STALE: f64 = 3.0; // to the sums' period: a path not heard of for longer has no rate
-const PEER_MEMORY: f64 = 12.0; // to the sums' period: how long a peer's note stands
-const PEER_PACE: f64 = 2.0; // sums' periods between two notes
+const PEERS: (f64, f64) = (12.0, 2.0); // sums' periods: how long a peer's note stands; between two
 const PRIOR: f64 = 3.0; // full periods: what the kind's mean counts beside a node's own sums
 const EVIDENCE: f64 = 5.0; // invocations: as many weigh as half a full period
 const FIRST_SUMS: f64 = 1.5; // full periods that teach no capacity yet
@@ -117,21 +113,17 @@
 const UNHEARD: f64 = 0.15; // of demand: with more of it out of reach, sums teach nothing
 const SLOWER: (f64, f64, f64) = (0.3, 0.4, 1.25); // power of the ratio of times, least and most it changes
 const USUAL_LOAD: f64 = 0.6; // of capacity, assumed before anything is heard
-const COMFORT: f64 = 0.6; // of a zone's capacity: below it traffic stays at home
-const COMFORT_PRICE: f64 = 3.0; // to the price of crossing zones: how much later it leaves
-const COMFORT_OVER: f64 = 0.08; // of capacity, over the fleet's part
+const COMFORT: (f64, f64, f64) = (0.6, 3.0, 0.08); // of a zone; more by its price; over the fleet
 const FULL: f64 = 0.77; // of capacity: what admission aims at under overload
 const PROVEN: f64 = 0.95; // of the most a node was lately seen to serve: it can do that again
 const STRAINED: f64 = 0.72; // of capacity: measured load above which admission may cut
 const CALM: (f64, f64) = (0.6, 8.0); // the same, and sums' periods: below it for so long nodes are calm
 const ERRING: f64 = 0.06; // of all tries: with more, the fleet is overrun whatever else is measured
-const EASE: (f64, f64, f64) = (0.85, 0.8, 0.06); // each cut that errors call for, the least, each return
-const EASE_WAITS: f64 = 3.0; // sums' periods between two such cuts
+const EASE: (f64, f64, f64, f64) = (0.85, 0.8, 0.06, 3.0); // a cut for errors, least, return; periods apart
 const LEAST_LEVEL: [f64; 2] = [0.3, 0.02]; // of an operation's traffic, before the next one is cut
-const LEVEL_RISE: f64 = 0.08; // of an operation's traffic, each time levels are set
-const LEVEL_MOVES: f64 = 0.04; // to a level: smaller changes are not sent
-const COLD_GUARD: f64 = 0.5; // to the load over a whole window that would push a cold node over
-const GUARD_SLACK: f64 = 1.3; // to that limit, before lines are lowered to it
+const LEVELS: (f64, f64) = (0.08, 0.04); // each return, to what is asked; to a level: changes not sent
+pub(crate) const ALL_IN: f64 = 0.97; // of an operation's traffic: larger shares let in all
+const GUARD: (f64, f64) = (0.5, 1.3); // to what pushes a cold node over; to that, before lines are lowered
 const BLIND: f64 = 2.0; // sums' periods after the first sums since the start
 const AVOIDED: f64 = 0.1; // chance of such a run of errors: with more, proxies avoid many nodes
 const FAILING: (f64, f64) = (0.8, 0.4); // of tries; of the others' tries: erring so much, all err alike
@@ -141,11 +133,10 @@
 const TRIAL_PART: f64 = 0.2; // to a node's usual weight
 const HOLD: (f64, f64, f64) = (4.0, 1.5, 4.0); // to period plus longest delay; growth; at most, to the first
 const OUT_AT_MOST: f64 = 0.34; // of the nodes: with more failing, no single node is to blame
-const STEP_WRITES: f64 = 0.55; // of the messages allowed to a proxy; levels go with the steps
-const EARLY_WRITES: f64 = 0.4; // the same, for a step that news of the list or of health brings forward
-const GUARD_WRITES: f64 = 0.8; // the same, for a cold node's limit; drains and joins have the rest
-const STEP_LINES: f64 = 0.1; // of the lines that may wait in the channel
-const JOIN_LINES: f64 = 0.7; // the same, for joins
+const WRITES: (f64, f64, f64) = (0.55, 0.4, 0.8); // of a proxy's messages: steps, hurried ones, cold limits
+const WAITING: (f64, f64, f64) = (0.1, 0.5, 0.7); // of lines that may wait: before a step, with it, joins
+const RUSH: f64 = 0.05; // sums' periods between two moments that news of the list or joins bring forward
+const PARTS: (f64, f64, f64) = (4.0, 8.0, 0.2); // uses of a line while idle; least lines; tables a proxy
 
 impl Balancer {
     pub fn start(now: Moment, seed: u64, facts: Facts) -> Result<Balancer, String> {
@@ -171,12 +162,7 @@
                 }
             }
             Event::ProxyJoined { proxy, zone, usual_rate, .. } => self.joined(*proxy, *zone, *usual_rate),
-            Event::ProxyLeft { proxy } => {
-                let known = self.proxies.get_mut(proxy).ok_or(format!("{proxy:?} left but never joined"))?;
-                (known.joined, known.bound, known.since) = (false, false, now);
-                self.joins.remove(proxy);
-                self.channel.sent.iter_mut().for_each(|sent| sent.waiting.retain(|p| p != proxy));
-            }
+            Event::ProxyLeft { proxy } => self.left(*proxy)?,
             Event::NodeSums { zone, node, .. } => {
                 self.nodes.get(node).ok_or(format!("sums of unknown {node:?}"))?;
                 self.node_sums(*zone, *node, event);
@@ -187,16 +173,11 @@
                 known.demand.entry(*operation).or_default().feed(count / over.seconds(), *over, memory);
                 self.heard = now;
             }
-            Event::Acked { proxy, mark, .. } => {
-                if let Some(place) = self.channel.sent.iter().position(|sent| sent.mark == *mark) {
-                    // The channel is in order: what was sent before this message has left it.
-                    self.channel.sent[place].waiting.remove(proxy);
-                    self.channel.sent.iter_mut().take(place).for_each(|sent| sent.lines = 0.0);
-                }
-            }
+            Event::Acked { proxy, mark, .. } => self.acked(*proxy, *mark),
             Event::PeerNote { from, bytes } => {
-                let view = PeerView::read(bytes, &self.tables, now);
-                self.peers.insert(*from, view.ok_or(format!("note of {} bytes", bytes.len()))?);
+                let sorts: Vec<_> = self.sorts().into_keys().collect();
+                let read = self.peers.entry(*from).or_default().read(bytes, &sorts, now);
+                read.ok_or(format!("note of {} bytes", bytes.len()))?;
             }
             _ => {} // timers only wake the module; sites with slices are not decided yet
         }
@@ -229,25 +210,15 @@
     fn tell(&mut self, id: NodeId, told: Told) {
         let Some(node) = self.nodes.get_mut(&id) else { return };
         let Some(row) = LIFE.iter().find(|row| row.0 == node.life && row.1 == told) else { return };
-        (node.life, node.told, self.moved) = (row.2, self.now, true);
+        (node.life, node.told, self.moved, self.rush) = (row.2, self.now, true, true);
         if row.3 == Measures::Forget {
             // A process that started anew is another one: nothing measured before speaks of it.
             (node.capacity, node.utilization, node.sojourn) = Default::default();
             (node.evidence, node.carried, node.peak) = (0.0, 0.0, 0.0);
         }
-        self.paths.retain(|key, _| key.1 != id || row.3 == Measures::Keep);
-    }
-
-    fn joined(&mut self, id: ProxyId, zone: ZoneId, usual_rate: f64) {
-        let window = self.fact("channel.messages_window").max(1.0);
-        // Two buckets more than the window: a message counts until it is surely outside.
-        let written = Ring::new(Span::from_seconds(window / 20.0), 22);
-        let known = self.proxies.remove(&id).map(|proxy| proxy.demand).filter(|demand| !demand.is_empty());
-        let usual = if usual_rate.is_finite() { usual_rate.max(0.0) } else { 0.0 };
-        let part = Smooth::at(usual / self.operations.len().max(1) as f64);
-        let demand = known.unwrap_or_else(|| self.operations.iter().map(|o| (o.id, part)).collect());
-        self.proxies.insert(id, Proxy { zone, joined: true, bound: false, since: self.now, demand, written });
-        self.joins.insert(id);
+        if row.3 != Measures::Keep {
+            self.paths.retain(|key, _| key.0 != id);
+        }
     }
 
     fn node_sums(&mut self, zone: ZoneId, id: NodeId, event: &Event) {
@@ -268,7 +239,7 @@
         node.news = node.news.max(*over);
         node.fresh +=
             Work { tries: *tries, errored: *errored, seconds: served * latency.seconds().clamp(0.0, 60.0) };
-        let path = self.paths.entry((zone, id)).or_insert_with(|| Path::new(now, Ring::new(period, 8)));
+        let path = self.paths.entry((id, zone)).or_insert_with(|| Path::new(now, Ring::new(period, 8)));
         path.rate.feed(tries / over.seconds(), *over, memory);
         path.served.feed(served / over.seconds(), *over, memory);
         path.heard = now;
@@ -283,7 +254,7 @@
     // ---- mechanism 1: how much a node can do ----
 
     fn peers_since(&self) -> Moment {
-        self.now - self.period() * PEER_MEMORY
+        self.now - self.period() * PEERS.0
     }
 
     fn rate_at(&self, id: NodeId) -> f64 {
@@ -384,37 +355,32 @@
             if let (None, Some(p), Some(c)) =
                 (node.utilization.get(), self.pressure(node), node.capacity.get())
             {
-                let rate = self.rate_at(id);
-                (rates, busy, sum) = (rates + rate, busy + rate * p, sum + c.exp());
+                (rates, busy) = (rates + self.rate_at(id), busy + self.rate_at(id) * p);
+                sum += c.exp();
                 plain.push((id, c));
             }
         }
-        if rates > 0.0 && busy > 0.0 {
-            let shift = 0.2 * (rates * rates / busy / sum).ln().clamp(-1.0, 1.0);
-            for (id, capacity) in plain {
-                self.nodes.entry(id).and_modify(|node| node.capacity = Smooth::at(capacity + shift));
-            }
+        let shift = 0.2 * (rates * rates / busy / sum).max(1e-9).ln().clamp(-1.0, 1.0);
+        for (id, capacity) in plain.into_iter().filter(|_| rates > 0.0 && busy > 0.0) {
+            self.nodes.entry(id).and_modify(|node| node.capacity = Smooth::at(capacity + shift));
         }
     }
 
-    /// What a warm node of this kind and listed weight does.
-    fn full(&self, node: &Node) -> f64 {
+    /// Once a moment: by kind, what a warm node does and was seen to serve for each unit of listed weight.
+    fn note_means(&mut self) {
+        let weights: f64 = self.open_nodes().iter().map(|id| self.nodes[id].weight).sum();
+        let blind = self.demand_by(|_| true).max(1.0) / USUAL_LOAD / weights.max(1e-6);
         let known = |n: &Node| n.capacity.get().filter(|_| n.evidence > PRIOR).map(f64::exp);
-        let each = self.by_weight(node.kind, known).unwrap_or_else(|| {
-            let weights: f64 = self.open_nodes().iter().map(|id| self.nodes[id].weight).sum();
-            self.demand_by(|_| true).max(1.0) / USUAL_LOAD / weights.max(1e-6)
-        });
-        node.weight * each
+        let seen = |n: &Node| Some(n.peak).filter(|peak| *peak > 0.0);
+        let kinds: BTreeSet<KindId> = self.nodes.values().map(|node| node.kind).collect();
+        let means = |k: KindId| (k, (self.by_weight(k, known).unwrap_or(blind), self.by_weight(k, seen)));
+        self.each = kinds.into_iter().map(means).collect();
+        self.usual_time = self.mean_time();
     }
 
-    /// The least share of its capacity that a node has by now.
-    fn warmth(&self, node: &Node) -> f64 {
-        let start = self.fact("rules.cold_start_share").clamp(0.01, 1.0);
-        if node.life == Life::Cold {
-            start + (1.0 - start) * self.age(node)
-        } else {
-            1.0
-        }
+    /// What a warm node of this kind and listed weight does.
+    fn full(&self, node: &Node) -> f64 {
+        node.weight * self.each.get(&node.kind).map_or(0.0, |each| each.0)
     }
 
     /// Invocations a second that a node can do now.
@@ -431,7 +397,7 @@
     fn worth(&self, id: NodeId) -> f64 {
         let node = &self.nodes[&id];
         let slower = match (node.utilization.get(), node.sojourn.get()) {
-            (Some(_), Some(time)) => (self.usual_time() / time).powf(SLOWER.0),
+            (Some(_), Some(time)) => (self.usual_time / time).powf(SLOWER.0),
             _ => 1.0,
         };
         self.able(id) * slower.clamp(SLOWER.1, SLOWER.2)
@@ -446,13 +412,13 @@
     fn judge(&mut self) {
         let (now, nodes) = (self.now, self.open_nodes().len() as f64);
         let first = (self.period() + self.span("channel.delay_at_most")) * HOLD.0;
+        let mut zones = self.met_by_zone(JUDGED_OVER);
         for key in self.paths.keys().copied().collect::<Vec<_>>() {
-            let (path, recent) = (&self.paths[&key], self.met(JUDGED_OVER, |other| *other == key));
-            let zone = self.met(JUDGED_OVER, |other| other.0 == key.0);
-            let out = self.paths.iter().filter(|(k, p)| k.0 == key.0 && p.standing == Standing::Out).count();
+            let path = &self.paths[&key];
+            let (recent, (zone, out)) = (path.sums.last(now, JUDGED_OVER), zones[&key.1]);
             let others = (zone.errored - recent.errored) / (zone.tries - recent.tries).max(1.0);
             let served = recent.tries - recent.errored;
-            let slow = self.nodes.get(&key.1).and_then(|node| node.sojourn.get());
+            let slow = self.nodes.get(&key.0).and_then(|node| node.sojourn.get());
             let overrun =
                 served >= FEWEST_ERRORS && slow.is_some_and(|time| time > self.objective() * OVERRUN);
             let mostly = others < FAILING.1 && recent.errored > recent.tries * FAILING.0;
@@ -472,6 +438,7 @@
                 Hold::Same => path.hold,
                 Hold::Longer => (path.hold * HOLD.1).min(first * HOLD.2),
             };
+            zones.entry(key.1).and_modify(|zone| zone.1 += usize::from(row.2 == Standing::Out));
             let fresh = Path::new(now, Ring::new(self.period(), 8));
             self.paths.insert(key, Path { standing: row.2, hold, ..fresh });
             self.moved = true;
@@ -481,7 +448,7 @@
     /// The part of a node's capacity that a zone should use. What errs in part gets less: too little to
     /// be taken out may still be too much to keep.
     fn usable(&self, zone: ZoneId, id: NodeId) -> f64 {
-        let Some(path) = self.paths.get(&(zone, id)) else { return 1.0 };
+        let Some(path) = self.paths.get(&(id, zone)) else { return 1.0 };
         let recent = path.sums.last(self.now, JUDGED_OVER);
         let erring = (recent.errored - 1.0).max(0.0) / (recent.tries + 2.0);
         match path.standing {
@@ -497,10 +464,10 @@
     /// that bursts, retries and handshakes still fit. It goes by what warm nodes of its kind are seen to
     /// serve, never by an estimate of what they could. Also covers a fleet that is mostly cold.
     fn cold_limit(&self, node: &Node) -> f64 {
-        let proven = self.by_weight(node.kind, |n| Some(n.peak).filter(|peak| *peak > 0.0));
+        let proven = self.each.get(&node.kind).and_then(|each| each.1);
         let full =
             proven.map_or(self.full(node) * USUAL_LOAD, |each| each * node.weight).min(self.full(node));
-        COLD_GUARD * self.fact("rules.cold_overload_factor") * self.warmth(node) * full
+        GUARD.0 * self.fact("rules.cold_overload_factor") * self.warmth(node) * full
     }
 
     /// Lowers a cold node's lines in `draft` until what they bring, with the tries of unheard proxies,
@@ -518,7 +485,7 @@
         // After a restart nothing is known of that, so it counts as common until sums have come.
         let blind = self.sums_since.is_none_or(|since| self.now - since < self.period() * BLIND);
         let avoided = run > 0.0 && (erring || blind);
-        let cold = |id: &NodeId| self.nodes.get(id).is_some_and(|node| node.life == Life::Cold);
+        let cold = |id: &NodeId| self.cold(id);
         for lines in draft.values_mut().filter(|lines| avoided && !lines.keys().all(cold)) {
             lines.retain(|id, _| !cold(id));
         }
@@ -534,7 +501,7 @@
                 draft.iter().map(|(t, lines)| totals[t] * part(lines)).sum::<f64>() * repeated
             };
             // A line near its limit stays: each lowering costs every proxy a message.
-            for _ in 0..if load(draft) > limit * GUARD_SLACK { 5 } else { 0 } {
+            for _ in 0..if load(draft) > limit * GUARD.1 { 5 } else { 0 } {
                 let lower = (limit / load(draft).max(1e-9)).min(1.0);
                 for lines in draft.values_mut().filter(|lines| !lines.keys().all(cold)) {
                     lines.entry(*id).and_modify(|weight| *weight = (*weight * lower).max(1e-3));
@@ -545,50 +512,91 @@
 
     // ---- targets ----
 
+    /// Into how many parts each zone's proxies fall, with tables of their own over as many parts of its
+    /// nodes. One, unless a table would hold so many nodes that a proxy hardly uses a line before its
+    /// connection closes, and that the channel could not carry the table. Fixed once proxies have joined.
+    fn divide(&mut self) {
+        let zones: BTreeSet<ZoneId> = self.tables.values().map(|table| table.zone).collect();
+        for zone in &zones {
+            let nodes = self.open_nodes().iter().filter(|id| self.nodes[id].zone == *zone).count() as f64;
+            let known = self.proxies.values().filter(|proxy| proxy.joined && proxy.zone == *zone).count();
+            let undivided = self.tables.iter().filter(|(_, t)| t.zone == *zone && t.parts == 0);
+            let own: Vec<TableId> = undivided.map(|(id, _)| *id).collect();
+            if nodes == 0.0 || known == 0 || own.is_empty() {
+                continue;
+            }
+            let rate = self.demand_by(|proxy| proxy.joined && proxy.zone == *zone) / known as f64;
+            let lines = (rate * self.facts.number_or("proxy.connection_idle", 60.0) / PARTS.0).max(PARTS.1);
+            let proxies =
+                self.fact("proxy.count") / self.fact("conductor.count").max(1.0) / zones.len() as f64;
+            let most = proxies * PARTS.2 / own.len() as f64;
+            let parts = (nodes / lines).min(most).clamp(1.0, 999.0) as u16;
+            for (id, part) in own.iter().flat_map(|id| (0..parts).map(move |part| (*id, part))) {
+                let mut table = Table { part, parts, ..self.tables[&id].clone() };
+                if part > 0 {
+                    (table.lines, table.levels) = Default::default();
+                }
+                self.tables.insert(TableId(id.0 + part * 2 * zones.len() as u16), table);
+            }
+        }
+    }
+
     /// Shares of each table's traffic by node. Traffic stays in its zone up to a comfortable part of
     /// the zone's capacity, or somewhat above the fleet's part; the rest goes where there is spare.
+    /// A zone's nodes stand in a row, by chance that stays, so that neighbours differ in kind and cell;
+    /// each part of its proxies uses the stretch of the row that its part of what is asked for fills.
     fn targets(&self) -> Orders {
-        let open: Vec<(NodeId, ZoneId, f64)> =
+        let mut open: Vec<(NodeId, ZoneId, f64)> =
             self.open_nodes().iter().map(|id| (*id, self.nodes[id].zone, self.worth(*id))).collect();
+        open.sort_by_key(|o| (o.1, scatter(o.0)));
         let demand = self.zone_demand(self.peers_since());
         let asked = |zone: ZoneId, stays: bool| demand.get(&(zone, stays)).copied().unwrap_or(0.0);
-        let capacity = |from: ZoneId, at: ZoneId| -> f64 {
-            open.iter().filter(|o| o.1 == at).map(|o| o.2 * self.usable(from, o.0)).sum()
-        };
         let zones: BTreeSet<ZoneId> =
             open.iter().map(|o| o.1).chain(self.tables.values().map(|t| t.zone)).collect();
-        let home: BTreeMap<ZoneId, f64> = zones.iter().map(|zone| (*zone, capacity(*zone, *zone))).collect();
-        let part = demand.values().sum::<f64>() / home.values().sum::<f64>().max(1e-6);
-        let comfort = (COMFORT + COMFORT_PRICE * self.fact("price.cross_zone")).max(part + COMFORT_OVER);
-        let over = |zone: ZoneId| asked(zone, false) + asked(zone, true) - comfort * home[&zone];
+        let able = |from: ZoneId| open.iter().map(|o| o.2 * self.usable(from, o.0)).collect();
+        let able: BTreeMap<ZoneId, Vec<f64>> = zones.iter().map(|zone| (*zone, able(*zone))).collect();
+        let mut capacity: BTreeMap<(ZoneId, ZoneId), f64> = BTreeMap::new();
+        for (from, able) in &able {
+            capacity.extend(zones.iter().map(|at| ((*from, *at), 0.0)));
+            open.iter().zip(able).for_each(|(o, able)| *capacity.entry((*from, o.1)).or_default() += able);
+        }
+        let home: f64 = zones.iter().map(|zone| capacity[&(*zone, *zone)]).sum();
+        let part = demand.values().sum::<f64>() / home.max(1e-6);
+        let comfort = (COMFORT.0 + COMFORT.1 * self.fact("price.cross_zone")).max(part + COMFORT.2);
+        let over = |zone: ZoneId| asked(zone, false) + asked(zone, true) - comfort * capacity[&(zone, zone)];
+        let stretches = self.stretches();
         let mut targets = Orders::new();
         for (id, table) in &self.tables {
-            let others = zones.iter().filter(|zone| **zone != table.zone);
+            let (at, own) = (table.zone, capacity[&(table.zone, table.zone)]);
+            let others = zones.iter().filter(|zone| **zone != at);
             let reach: BTreeMap<ZoneId, (f64, f64)> =
-                others.map(|zone| (*zone, ((-over(*zone)).max(0.0), capacity(table.zone, *zone)))).collect();
+                others.map(|zone| (*zone, ((-over(*zone)).max(0.0), capacity[&(at, *zone)]))).collect();
             let (spares, elsewhere) = reach.values().fold((0.0, 0.0), |sum, r| (sum.0 + r.0, sum.1 + r.1));
-            let own = home[&table.zone];
             let away = match (table.stays || elsewhere <= 0.0, own > 0.0) {
                 (true, _) => 0.0,
                 (false, false) => 1.0,
-                (false, true) => (over(table.zone) / asked(table.zone, false).max(1e-6)).clamp(0.0, 1.0),
+                (false, true) => (over(at) / asked(at, false).max(1e-6)).clamp(0.0, 1.0),
             };
-            let share = |(node, zone, able): &(NodeId, ZoneId, f64)| {
-                let able = able * self.usable(table.zone, *node);
-                match reach.get(zone) {
-                    None => (1.0 - away) * able / own.max(1e-6),
-                    Some((spare, reached)) if spares > 0.0 => {
-                        away * spare / spares * able / reached.max(1e-6)
-                    }
-                    Some(_) => away * able / elsewhere.max(1e-6),
+            let (before, until) = stretches[&(at, table.part)];
+            let (mut row, mut lines) = (BTreeMap::<ZoneId, f64>::new(), Shares::new());
+            for ((node, zone, _), able) in open.iter().zip(&able[&at]) {
+                let (whole, place) = (capacity[&(at, *zone)].max(1e-6), row.entry(*zone).or_default());
+                let (from, to) = (*place / whole, (*place + able) / whole);
+                *place += able;
+                let within = (to.min(until) - from.max(before)).max(0.0) / (until - before);
+                let flow = match reach.get(zone) {
+                    None => 1.0 - away,
+                    Some((spare, _)) if spares > 0.0 => away * spare / spares,
+                    Some((_, reached)) => away * reached / elsewhere.max(1e-6),
+                };
+                if within * flow > DUST {
+                    lines.insert(*node, within * flow);
                 }
-            };
-            let may = |o: &&(NodeId, ZoneId, f64)| !table.stays || o.1 == table.zone;
-            let mut lines: Shares = open.iter().filter(may).map(|o| (o.0, share(o))).collect();
-            lines.retain(|_, share| *share > DUST);
+            }
             if lines.is_empty() {
                 // Nobody may be left without a node: with none in good standing, any open one will do.
-                lines = open.iter().filter(may).map(|o| (o.0, o.2.max(1e-6))).collect();
+                let may = open.iter().filter(|o| !table.stays || o.1 == at);
+                lines = may.map(|o| (o.0, o.2.max(1e-6))).collect();
             }
             targets.insert(*id, shares(&lines));
         }
@@ -599,8 +607,8 @@
 
     /// Room of a node: a part of traffic by listed weight, or the most it carried while latency held.
     fn room(&self, node: &Node, each: f64) -> f64 {
-        let fresh = if node.life == Life::Cold { ROOM_FRESH } else { 1.0 };
-        (each * node.weight * ROOM_START * fresh).max(node.carried * ROOM_RISE)
+        let fresh = if node.life == Life::Cold { ROOM.1 } else { 1.0 };
+        (each * node.weight * ROOM.0 * fresh).max(node.carried * ROOM.2)
     }
 
     /// One step of the way from what is published to `targets`, as the design orders it, written into
@@ -619,14 +627,8 @@
         let each = self.zone_demand(self.peers_since()).values().sum::<f64>() / weights.max(1e-6);
         let (mut risk, mut spare, mut step) = (BTreeSet::new(), Shares::new(), new.clone());
         for (id, node) in &self.nodes {
-            let (mut leaving, mut arriving, mut staying) =
-                (0.0, 0.0, self.peers_rate(*id, self.peers_since()));
-            for table in self.tables.keys() {
-                let (before, after) = (load(&old, *table, *id), load(&new, *table, *id));
-                leaving += (before - after).max(0.0);
-                arriving += (after - before).max(0.0);
-                staying += before.min(after);
-            }
+            let (leaving, arriving, staying) = flows(&old, &new, *id);
+            let staying = staying + self.peers_rate(*id, self.peers_since());
             let room = self.room(node, each);
             spare.insert(*id, room - leaving - staying);
             if leaving + staying <= room && arriving + staying <= room && leaving + arriving + staying > room
@@ -645,30 +647,31 @@
         }
         let moving: Vec<TableId> =
             self.tables.keys().copied().filter(|t| worth_a_step(&draft[t], &targets[t])).collect();
-        let adds = |table: TableId| -> Vec<(NodeId, f64)> {
-            let more = risk.iter().map(|n| (*n, load(&step, table, *n) - load(&old, table, *n)));
-            more.filter(|(_, more)| *more > 1e-9).collect()
+        let added = |t: &TableId| {
+            let more = risk.iter().map(|n| (*n, load(&step, *t, *n) - load(&old, *t, *n)));
+            (*t, more.filter(|(_, more)| *more > 1e-9).collect())
         };
+        let adds: BTreeMap<TableId, Vec<(NodeId, f64)>> = moving.iter().map(added).collect();
         let lifts = |table: TableId, node: NodeId| load(&old, table, node) > load(&new, table, node) + 1e-9;
         let on = |t: TableId| moving.iter().copied().filter(move |u| *u != t);
         let waits: BTreeMap<TableId, BTreeSet<TableId>> = moving
             .iter()
-            .map(|t| (*t, on(*t).filter(|u| adds(*t).iter().any(|(n, _)| lifts(*u, *n))).collect()))
+            .map(|t| (*t, on(*t).filter(|u| adds[t].iter().any(|(n, _)| lifts(*u, *n))).collect()))
             .collect();
-        let free = waits.iter().filter(|(_, on)| on.is_empty());
-        let mut publish: BTreeMap<TableId, f64> = free.map(|(table, _)| (*table, 1.0)).collect();
+        let free = waits.iter().filter(|(_, on)| on.is_empty()).map(|(table, _)| (*table, 1.0));
+        let mut publish: BTreeMap<TableId, f64> = free.collect();
         let mutual: Vec<TableId> = moving.iter().copied().filter(|t| reaches(&waits, *t, *t)).collect();
         let mut whole = false;
         for table in &mutual {
-            if adds(*table).iter().all(|(n, more)| *more <= spare[n]) {
-                adds(*table).iter().for_each(|(n, more)| *spare.entry(*n).or_default() -= more);
+            if adds[table].iter().all(|(n, more)| *more <= spare[n]) {
+                adds[table].iter().for_each(|(n, more)| *spare.entry(*n).or_default() -= more);
                 publish.insert(*table, 1.0);
                 whole = true;
             }
         }
         let shift = |table: TableId| {
             let left: f64 = old[&table].iter().map(|(n, l)| (l - load(&step, table, *n)).max(0.0)).sum();
-            let room = adds(table).iter().map(|(n, _)| (spare[n], *n)).min_by(|a, b| a.0.total_cmp(&b.0));
+            let room = adds[&table].iter().map(|(n, _)| (spare[n], *n)).min_by(|a, b| a.0.total_cmp(&b.0));
             (left, room)
         };
         let possible = |table: &TableId| shift(*table).1.map_or(0.0, |room| shift(*table).0.min(room.0));
@@ -708,7 +711,7 @@
     fn urgent(&self, targets: &Orders, draft: &mut Orders) {
         for (id, lines) in draft {
             lines.retain(|node, _| self.open(*node));
-            let warm = |node: &NodeId| self.nodes.get(node).is_some_and(|node| node.life == Life::Warm);
+            let warm = |node: &NodeId| self.open(*node) && !self.cold(node);
             if lines.is_empty() || (!lines.keys().any(warm) && targets[id].keys().any(warm)) {
                 *lines = targets[id].iter().map(|(node, share)| (*node, share * WEIGHT_SUM)).collect();
             }
@@ -720,7 +723,7 @@
     /// Mean load of a zone's nodes, or all, by the tries they get, of 1; full when many tries err.
     fn strain(&self, zone: Option<ZoneId>) -> f64 {
         let (mut sum, mut rates) = (0.0, 0.0);
-        for ((_, id), path) in self.paths.iter().filter(|(key, _)| self.open(key.1)) {
+        for ((id, _), path) in self.paths.iter().filter(|(key, _)| self.open(key.0)) {
             let node = &self.nodes[id];
             if let Some(pressure) = self.pressure(node).filter(|_| zone.is_none_or(|z| z == node.zone)) {
                 let rate = path.rate.get().unwrap_or(0.0);
@@ -744,7 +747,7 @@
         // The effect of a cut shows only when sums from after it arrive, so each cut waits for them.
         if strain < 1.0 {
             self.admission.ease = (self.admission.ease + EASE.2).min(1.0);
-        } else if self.now - self.admission.eased > self.period() * EASE_WAITS {
+        } else if self.now - self.admission.eased > self.period() * EASE.3 {
             self.admission.ease = (self.admission.ease * EASE.0).max(EASE.1);
             self.admission.eased = self.now;
         }
@@ -778,15 +781,14 @@
             let own = nodes.iter().filter(|n| self.nodes[n].zone == table.zone);
             let able: f64 = own.map(|n| self.able(*n)).sum();
             let most = able / demand[&(table.zone, table.stays)].max(1e-6);
-            let cold = |id: &NodeId| self.nodes.get(id).filter(|node| node.life == Life::Cold);
-            let limits: Option<Vec<f64>> =
-                table.lines.keys().map(|id| Some(self.cold_limit(cold(id)?))).collect();
+            let limit = |id: &NodeId| self.cold(id).then(|| self.cold_limit(&self.nodes[id]));
+            let limits: Option<Vec<f64>> = table.lines.keys().map(limit).collect();
             let asked = self.asked(table);
             let cold_only = limits.map_or(1.0, |limits| limits.iter().sum::<f64>() / asked.max(1e-6));
             for operation in &table.operations {
                 let before = self.admission.let_in.get(&(*id, *operation)).copied().unwrap_or(1.0);
                 let share = if local && able > 0.0 { shares[operation].min(most) } else { shares[operation] };
-                let rise = before + LEVEL_RISE * (before + 0.2).min(1.0);
+                let rise = before + LEVELS.0 * (before + 0.2).min(1.0);
                 let share = if self.admission.busy == Busy::Strained || local {
                     share.min(rise)
                 } else {
@@ -805,19 +807,6 @@
         (self.quota(&self.tables[&id], operation, share), self.retry(known))
     }
 
-    /// A share as the settings want it said. As a rate at each proxy it is the one rate under which
-    /// the table's proxies, unequal in size, let in that share together.
-    fn quota(&self, table: &Table, operation: OperationId, share: f64) -> f64 {
-        match (self.level_is_share(), share > 0.97) {
-            (true, true) => return 1.0,
-            (true, false) => return share,
-            (false, true) => return 1e6,
-            (false, false) => {}
-        }
-        let own = self.proxies.values().filter(|p| p.joined && p.zone == table.zone);
-        one_rate(own.map(|proxy| self.demand(proxy, &[operation])).collect(), share).unwrap_or(1e6)
-    }
-
     /// Rule 2: a repeat after any failure only where it can't take effect twice.
     fn retry(&self, operation: &Operation) -> Retry {
         let guarded = match operation.effect {
@@ -831,40 +820,30 @@
 
     // ---- mechanism 5: channel ledger ----
 
-    fn answered(sent: &Sent) -> bool {
-        sent.waiting.len() as f64 <= sent.asked as f64 * (1.0 - ACK_SHARE)
-    }
-
-    /// Lines that may still wait in the channel, by the acks: a slow channel shows in them at once.
-    fn outstanding(&self) -> f64 {
-        self.channel.sent.iter().filter(|sent| !Self::answered(sent)).map(|sent| sent.lines).sum()
-    }
-
     /// Whether steps and levels may be written. They share one pace: on their own, levels once took all
     /// the messages allowed under strain and no step went out for 20 s.
     fn may_order(&self) -> bool {
-        let early = self.moved && self.may_write(EARLY_WRITES);
-        let pace = if early { self.period() * 0.2 } else { self.pace(STEP_WRITES) };
+        let early = self.moved && self.may_write(WRITES.1);
+        let pace = if early { self.period() * 0.2 } else { self.pace(WRITES.0) };
         let paced = self.channel.last_orders.is_none_or(|at| self.now - at >= pace);
-        paced && self.may_write(STEP_WRITES + 0.1)
+        let room = self.outstanding() <= WAITING.1 * self.fact("channel.lines_waiting_at_most");
+        paced && room && self.may_write(WRITES.0 + 0.1)
     }
 
     /// Whether the last step has arrived, or long enough ago, and the channel is nearly empty.
     fn may_step(&self) -> bool {
         let last = self.channel.sent.iter().rev().find(|sent| sent.step);
         let waited = |sent: &Sent| self.now - sent.at >= Span::from_seconds(STEP_WAIT);
-        last.is_none_or(|sent| Self::answered(sent) || waited(sent))
-            && self.outstanding() <= STEP_LINES * self.fact("channel.lines_waiting_at_most")
+        let answered = |sent: &Sent| sent.waiting.len() as f64 <= sent.asked as f64 * (1.0 - ACK_SHARE);
+        last.is_none_or(|sent| answered(sent) || waited(sent))
+            && self.outstanding() <= WAITING.0 * self.fact("channel.lines_waiting_at_most")
     }
 
     // ---- what goes out ----
 
     pub fn settle(&mut self, now: Moment, out: &mut Vec<Action>) {
         self.now = now;
-        let cold = |node: &Node| node.life == Life::Cold && self.age(node) >= 1.0;
-        let warmed: Vec<NodeId> =
-            self.nodes.iter().filter(|(_, node)| cold(node)).map(|(id, _)| *id).collect();
-        warmed.into_iter().for_each(|id| self.tell(id, Told::Warmed));
+        self.grown_warm().into_iter().for_each(|id| self.tell(id, Told::Warmed));
         if self.ticks == 0 {
             out.push(Action::ReadList); // after a restart the first list is a stale one
         }
@@ -872,12 +851,16 @@
             let wait = (self.period() * 0.25).max(self.span("conductor.tick"));
             (self.next_tick, self.ticks) = (now + wait, self.ticks + 1);
             out.push(Action::SetTimer { after: wait, timer: TimerId(self.ticks) });
-        } else if self.joins.is_empty() && !self.moved {
+        } else if (!self.rush && self.joins.is_empty()) || now - self.settled < self.period() * RUSH {
             return;
         }
+        (self.rush, self.settled) = (false, now);
         self.forget();
+        self.note_means();
         self.learn();
+        self.note_means();
         self.judge();
+        self.divide();
         let targets = self.targets();
         let mut draft: Orders = self.tables.iter().map(|(id, table)| (*id, table.lines.clone())).collect();
         self.urgent(&targets, &mut draft);
@@ -907,29 +890,43 @@
         self.proxies.retain(|_, proxy| proxy.joined || now - proxy.since < long);
     }
 
-    /// Sends the lines by which `draft` differs from what stands. A removal always goes; a weight only
-    /// when it moved enough.
+    /// Sends the lines by which `draft` differs from what stands; a weight only when it moved enough. Where
+    /// the channel has no room for all of a table's, lines that lose weight wait, but for what rules call
+    /// for: a table that has lost lines and not got others may run empty.
     fn publish(&mut self, draft: &Orders, lines: &mut BTreeMap<TableId, usize>, out: &mut Vec<Action>) {
-        let lower = self.may_write(GUARD_WRITES);
-        for (id, table) in &mut self.tables {
-            let goal = &draft[id];
+        let lower = self.may_write(WRITES.2);
+        let mut left = self.fact("channel.lines_waiting_at_most") * WAITING.1 - self.outstanding();
+        for id in self.tables.keys().copied().collect::<Vec<_>>() {
+            let (table, goal) = (&self.tables[&id], &draft[&id]);
             let typical = goal.values().sum::<f64>() / goal.len().max(1) as f64;
             let nodes: BTreeSet<NodeId> = table.lines.keys().chain(goal.keys()).copied().collect();
-            for node in nodes {
+            let change = |node: NodeId| {
                 let old = table.lines.get(&node).copied().unwrap_or(0.0);
                 let new = goal.get(&node).map_or(0.0, |weight| f64::from(*weight as f32));
-                let moves = (new - old).abs() > LINE_MOVES * new.max(old).max(0.3 * typical);
-                if (new > 0.0 && !(moves && (lower || old == 0.0))) || new == old {
-                    continue;
-                }
-                if new > 0.0 {
-                    table.lines.insert(node, new);
-                } else {
-                    table.lines.remove(&node);
-                }
-                out.push(Action::SetLine { table: *id, node, weight: new });
-                *lines.entry(*id).or_default() += 1;
+                let moves = (new - old).abs() > MOVES.0 * new.max(old).max(0.3 * typical);
+                let goes = new != old && (new == 0.0 || (moves && (lower || old == 0.0)));
+                goes.then_some((node, new, old))
+            };
+            let mut changes: Vec<_> = nodes.into_iter().filter_map(change).collect();
+            let users = self.proxies.iter().filter(|(id, p)| p.bound && table.serves(**id, p)).count() as f64;
+            let bare = !table.lines.keys().any(|node| self.open(*node) && !self.cold(node));
+            left -= if changes.is_empty() { 0.0 } else { users * self.message_lines(0) };
+            let tight = left < users * changes.len() as f64 && !bare;
+            changes.retain(|(node, new, old)| {
+                let goes = !tight
+                    || !self.open(*node)
+                    || (self.cold(node) && new < old)
+                    || (new > old && left >= users);
+                left -= if goes { users } else { 0.0 };
+                goes
+            });
+            let Some(table) = self.tables.get_mut(&id) else { continue };
+            for (node, new, _) in changes {
+                table.lines.insert(node, new);
+                out.push(Action::SetLine { table: id, node, weight: new });
+                *lines.entry(id).or_default() += 1;
             }
+            table.lines.retain(|_, weight| *weight > 0.0);
         }
     }
 
@@ -943,7 +940,7 @@
         for (id, operation) in all.collect::<Vec<_>>() {
             let (quota, retry) = self.level(id, operation);
             let Some(table) = self.tables.get_mut(&id) else { continue };
-            let near = |old: f64| (old - quota).abs() <= LEVEL_MOVES * old.max(quota);
+            let near = |old: f64| (old - quota).abs() <= LEVELS.1 * old.max(quota);
             if !table.levels.get(&operation).is_some_and(|old| near(old.0) && old.1 == retry) {
                 table.levels.insert(operation, (quota, retry));
                 out.push(Action::SetLevel { table: Some(id), operations: vec![operation], quota, retry });
@@ -956,11 +953,11 @@
 
     /// Binds who joined, at once; only a channel near its limit makes some wait.
     fn join(&mut self, out: &mut Vec<Action>) -> (BTreeSet<ProxyId>, f64) {
-        let limit = self.fact("channel.lines_waiting_at_most") * JOIN_LINES;
+        let limit = self.fact("channel.lines_waiting_at_most") * WAITING.2;
         let (mut sum, mut done) = (0.0, BTreeSet::new());
         for id in self.joins.clone() {
             let Some(proxy) = self.proxies.get(&id) else { continue };
-            let own = self.tables.iter().filter(|(_, t)| t.zone == proxy.zone && !t.lines.is_empty());
+            let own = self.tables.iter().filter(|(_, t)| t.serves(id, proxy) && !t.lines.is_empty());
             let own: Vec<_> = own.collect();
             let lines = self.message_lines(own.iter().map(|(_, t)| 1 + t.lines.len() + t.levels.len()).sum());
             if own.is_empty() || self.outstanding() + sum + lines > limit {
@@ -981,13 +978,13 @@
 
     /// Tells the other conductors what is asked for here and what each node serves of it.
     fn tell_peers(&mut self, out: &mut Vec<Action>) {
-        let waited = self.now - self.told_peers >= self.period() * PEER_PACE;
+        let waited = self.now - self.told_peers >= self.period() * PEERS.1;
         if !(waited && self.facts.flag_or("peers.may_tell", false) && self.fact("conductor.count") > 1.0) {
             return;
         }
         self.told_peers = self.now;
-        let bytes = self.note(self.heard - self.period() * STALE, 256);
-        out.push(Action::Tell { peer: None, bytes });
+        let notes = self.notes(self.heard - self.period() * STALE, 256);
+        out.extend(notes.into_iter().map(|bytes| Action::Tell { peer: None, bytes }));
     }
 }
 
@@ -996,6 +993,6 @@
     let (now, typical) = (shares(lines), 1.0 / target.len().max(1) as f64);
     target.keys().chain(now.keys()).any(|node| {
         let (a, b) = (now.get(node).copied().unwrap_or(0.0), target.get(node).copied().unwrap_or(0.0));
-        (a - b).abs() > STEP_STARTS * a.max(b).max(0.3 * typical) || (a > 0.0) != (b > 0.0)
+        (a - b).abs() > MOVES.1 * a.max(b).max(0.3 * typical) || (a > 0.0) != (b > 0.0)
     })
 }
--- a/crates/wheelspread/src/measure.rs
+++ b/crates/wheelspread/src/measure.rs
@@ -1,7 +1,10 @@
 //! Sums over what is remembered: rates, demand, traffic. Plain arithmetic, no decision.
 
+use crate::balance::ALL_IN;
 use crate::ids::*;
 use crate::interface::Action;
+use crate::pcg::Pcg;
+use crate::ring::Ring;
 use crate::state::*;
 use crate::time::{Moment, Span};
 use std::collections::{BTreeMap, BTreeSet};
@@ -11,10 +14,24 @@
     lines.iter().map(|(id, weight)| (*id, weight / sum.max(1e-9))).collect()
 }
 
+/// A place by chance that stays the same for an id.
+pub fn scatter(id: NodeId) -> u32 {
+    Pcg::new(u64::from(u32::from_le_bytes(id.address)) << 16 | u64::from(id.port)).draw()
+}
+
 pub fn load(orders: &Orders, table: TableId, node: NodeId) -> f64 {
     orders.get(&table).and_then(|lines| lines.get(&node)).copied().unwrap_or(0.0)
 }
 
+/// What leaves a node, arrives and stays, from one set of loads to the next.
+pub fn flows(old: &Orders, new: &Orders, node: NodeId) -> (f64, f64, f64) {
+    old.keys().fold((0.0, 0.0, 0.0), |sum, table| {
+        let (before, after) = (load(old, *table, node), load(new, *table, node));
+        let (less, more) = ((before - after).max(0.0), (after - before).max(0.0));
+        (sum.0 + less, sum.1 + more, sum.2 + before.min(after))
+    })
+}
+
 /// Whether `from` waits, directly or by others, on `to`.
 pub fn reaches(waits: &BTreeMap<TableId, BTreeSet<TableId>>, from: TableId, to: TableId) -> bool {
     let mut seen = BTreeSet::new();
@@ -65,6 +82,10 @@
         self.nodes.get(&id).is_some_and(|node| matches!(node.life, Life::Cold | Life::Warm))
     }
 
+    pub(crate) fn cold(&self, id: &NodeId) -> bool {
+        self.nodes.get(id).is_some_and(|node| node.life == Life::Cold)
+    }
+
     pub(crate) fn open_nodes(&self) -> Vec<NodeId> {
         self.nodes.keys().copied().filter(|id| self.open(*id)).collect()
     }
@@ -75,6 +96,16 @@
         node.started.map_or(1.0, |at| ((self.now - at).seconds().max(0.0) / whole).min(1.0))
     }
 
+    /// The least share of its capacity that a node has by now.
+    pub(crate) fn warmth(&self, node: &Node) -> f64 {
+        let start = self.fact("rules.cold_start_share").clamp(0.01, 1.0);
+        if node.life == Life::Cold {
+            start + (1.0 - start) * self.age(node)
+        } else {
+            1.0
+        }
+    }
+
     pub(crate) fn demand(&self, proxy: &Proxy, operations: &[OperationId]) -> f64 {
         operations.iter().filter_map(|o| proxy.demand.get(o).and_then(Smooth::get)).sum()
     }
@@ -88,10 +119,23 @@
         self.facts.text("level.form").is_ok_and(|form| form == "share")
     }
 
+    /// A share as the settings want it said. As a rate at each proxy it is the one rate under which
+    /// the table's proxies, unequal in size, let in that share together.
+    pub(crate) fn quota(&self, table: &Table, operation: OperationId, share: f64) -> f64 {
+        match (self.level_is_share(), share > ALL_IN) {
+            (true, true) => return 1.0,
+            (true, false) => return share,
+            (false, true) => return 1e6,
+            (false, false) => {}
+        }
+        let own = self.proxies.iter().filter(|(id, p)| p.joined && table.serves(**id, p));
+        one_rate(own.map(|(_, proxy)| self.demand(proxy, &[operation])).collect(), share).unwrap_or(1e6)
+    }
+
     /// What the joined proxies of a table let in, a second.
     pub(crate) fn traffic(&self, table: &Table) -> f64 {
         let (mut sum, share) = (0.0, self.level_is_share());
-        for proxy in self.proxies.values().filter(|proxy| proxy.joined && proxy.zone == table.zone) {
+        for (_, proxy) in self.proxies.iter().filter(|(id, p)| p.joined && table.serves(**id, p)) {
             for operation in &table.operations {
                 let asked = proxy.demand.get(operation).and_then(Smooth::get).unwrap_or(0.0);
                 let quota = table.levels.get(operation).map_or(f64::INFINITY, |level| level.0);
@@ -109,38 +153,70 @@
         ((self.fact("proxy.count") - told) / joined.max(1.0)).max(1.0)
     }
 
+    /// The sorts of tables: zones, and whether operations stay there.
+    pub(crate) fn sorts(&self) -> BTreeMap<(ZoneId, bool), f64> {
+        self.tables.values().map(|table| ((table.zone, table.stays), 0.0)).collect()
+    }
+
     /// What proxies ask for by zone and by whether it stays there: own ones, those out of a single
     /// conductor's reach, and those that peers have told of since `since`.
     pub(crate) fn zone_demand(&self, since: Moment) -> BTreeMap<(ZoneId, bool), f64> {
         let alone = self.fact("conductor.count") <= 1.0;
-        let sum = |table: &Table| {
-            let known = self.proxies.values().filter(|p| p.zone == table.zone && (p.joined || alone));
-            let own: f64 = known.map(|proxy| self.demand(proxy, &table.operations)).sum();
-            let peers = self.peers.values().filter(|peer| peer.heard >= since);
-            own + peers.filter_map(|peer| peer.demand.get(&(table.zone, table.stays))).sum::<f64>()
-        };
-        self.tables.values().map(|table| ((table.zone, table.stays), sum(table))).collect()
+        let mut sums = self.sorts();
+        for (_, proxy) in self.proxies.iter().filter(|(_, proxy)| proxy.joined || alone) {
+            for operation in &self.operations {
+                let sum = sums.entry((proxy.zone, operation.stays));
+                sum.and_modify(|sum| *sum += self.demand(proxy, &[operation.id]));
+            }
+        }
+        for peer in self.peers.values().filter(|peer| peer.heard >= since) {
+            let told = |(sort, sum): (_, &mut f64)| *sum += peer.demand.get(sort).unwrap_or(&0.0);
+            sums.iter_mut().for_each(told);
+        }
+        sums
     }
 
     /// What a node is seen to serve for own proxies, by sums that came since `since`.
     pub(crate) fn own_rate(&self, id: NodeId, since: Moment) -> f64 {
-        let own = self.paths.iter().filter(|(key, path)| key.1 == id && path.heard >= since);
-        own.filter_map(|(_, path)| path.served.get()).sum()
+        let own = self.paths.range((id, ZoneId(0))..=(id, ZoneId(u16::MAX)));
+        own.filter(|(_, path)| path.heard >= since).filter_map(|(_, path)| path.served.get()).sum()
     }
 
     pub(crate) fn peers_rate(&self, id: NodeId, since: Moment) -> f64 {
-        let fresh = self.peers.values().filter(|peer| peer.heard >= since);
-        fresh.filter_map(|peer| peer.rates.get(&id)).sum()
+        let told = self.peers.values().filter_map(|peer| peer.rates.get(&id));
+        told.filter(|(_, heard)| *heard >= since).map(|(rate, _)| rate).sum()
     }
 
     /// Tries and errors of the last few periods, where the path counts.
-    pub(crate) fn met(&self, periods: usize, counts: impl Fn(&(ZoneId, NodeId)) -> bool) -> Work {
+    pub(crate) fn met(&self, periods: usize, counts: impl Fn(&(NodeId, ZoneId)) -> bool) -> Work {
         let mut sum = Work::default();
         let paths = self.paths.iter().filter(|(key, _)| counts(key));
         paths.for_each(|(_, path)| sum += path.sums.last(self.now, periods));
         sum
     }
 
+    /// Lines that may still wait in the channel, by the acks: a slow channel shows in them at once.
+    pub(crate) fn outstanding(&self) -> f64 {
+        self.channel.sent.iter().map(|s| s.lines * s.waiting.len() as f64 / s.asked.max(1) as f64).sum()
+    }
+
+    /// The same by zone, with the nodes that are out there.
+    pub(crate) fn met_by_zone(&self, periods: usize) -> BTreeMap<ZoneId, (Work, usize)> {
+        let mut zones = BTreeMap::<ZoneId, (Work, usize)>::new();
+        for ((_, zone), path) in &self.paths {
+            let sum = zones.entry(*zone).or_default();
+            sum.0 += path.sums.last(self.now, periods);
+            sum.1 += usize::from(path.standing == Standing::Out);
+        }
+        zones
+    }
+
+    /// Cold nodes that have had the time to get warm.
+    pub(crate) fn grown_warm(&self) -> Vec<NodeId> {
+        let grown = |node: &Node| node.life == Life::Cold && self.age(node) >= 1.0;
+        self.nodes.iter().filter(|(_, node)| grown(node)).map(|(id, _)| *id).collect()
+    }
+
     /// Lines of this moment's messages: for each proxy those of its tables, a head and a mark.
     pub(crate) fn message_lines(&self, lines: usize) -> f64 {
         lines as f64 + self.fact("channel.head_lines") + 1.0
@@ -148,20 +224,71 @@
 
     /// What comes to the proxies of a table, a second, let in or not.
     pub(crate) fn asked(&self, table: &Table) -> f64 {
-        let own = self.proxies.values().filter(|proxy| proxy.zone == table.zone);
-        own.map(|proxy| self.demand(proxy, &table.operations)).sum()
+        let own = self.proxies.iter().filter(|(id, proxy)| table.serves(**id, proxy));
+        own.map(|(_, proxy)| self.demand(proxy, &table.operations)).sum()
     }
 
-    /// What peers are told: proxies joined, what is asked for here, what each open node serves of it.
-    pub(crate) fn note(&self, since: Moment, longest: usize) -> Vec<u8> {
-        let joined = |table: &Table| {
-            let own = self.proxies.values().filter(|p| p.joined && p.zone == table.zone);
-            own.map(|proxy| self.demand(proxy, &table.operations)).sum()
+    /// For each part of a zone's proxies, from where to where what is asked there fills a row of 1.
+    pub(crate) fn stretches(&self) -> BTreeMap<(ZoneId, u16), (f64, f64)> {
+        let mut parts: BTreeMap<(ZoneId, u16), f64> = BTreeMap::new();
+        for table in self.tables.values() {
+            *parts.entry((table.zone, table.part)).or_default() += self.asked(table) + 1e-3;
+        }
+        let sum = |zone: ZoneId, until: u16| parts.range((zone, 0)..(zone, until)).map(|p| p.1).sum::<f64>();
+        let place = |(zone, part): (ZoneId, u16)| {
+            let all: f64 = parts.range((zone, 0)..=(zone, u16::MAX)).map(|part| part.1).sum();
+            ((zone, part), (sum(zone, part) / all, sum(zone, part + 1) / all))
         };
-        let demand: Vec<f64> = self.tables.values().map(joined).collect();
-        let proxies = self.proxies.values().filter(|proxy| proxy.joined).count();
-        let rates = self.open_nodes().into_iter().map(|id| (id, self.own_rate(id, since))).collect();
-        PeerView::write(proxies, &demand, &rates, longest)
+        parts.keys().map(|part| place(*part)).collect()
+    }
+
+    /// What peers are told: proxies joined, what is asked for here, what each open node serves of it;
+    /// in as many notes as it takes.
+    pub(crate) fn notes(&self, since: Moment, longest: usize) -> Vec<Vec<u8>> {
+        let mut demand = self.sorts();
+        let (mut proxies, mut notes) = (0, Vec::new());
+        for proxy in self.proxies.values().filter(|proxy| proxy.joined) {
+            proxies += 1;
+            for operation in &self.operations {
+                let sum = demand.entry((proxy.zone, operation.stays));
+                sum.and_modify(|sum| *sum += self.demand(proxy, &[operation.id]));
+            }
+        }
+        let demand: Vec<f64> = demand.into_values().collect();
+        let rates: Vec<_> = self.open_nodes().iter().map(|id| (*id, self.own_rate(*id, since))).collect();
+        let most = (longest.saturating_sub(2 + 4 * demand.len()) / 8).max(1);
+        for some in rates.chunks(most) {
+            notes.push(PeerView::write(proxies, &demand, some));
+        }
+        notes
+    }
+
+    pub(crate) fn joined(&mut self, id: ProxyId, zone: ZoneId, usual_rate: f64) {
+        let window = self.fact("channel.messages_window").max(1.0);
+        // Two buckets more than the window: a message counts until it is surely outside.
+        let written = Ring::new(Span::from_seconds(window / 20.0), 22);
+        let known = self.proxies.remove(&id).map(|proxy| proxy.demand).filter(|demand| !demand.is_empty());
+        let usual = if usual_rate.is_finite() { usual_rate.max(0.0) } else { 0.0 };
+        let part = Smooth::at(usual / self.operations.len().max(1) as f64);
+        let demand = known.unwrap_or_else(|| self.operations.iter().map(|o| (o.id, part)).collect());
+        self.proxies.insert(id, Proxy { zone, joined: true, bound: false, since: self.now, demand, written });
+        self.joins.insert(id);
+    }
+
+    pub(crate) fn left(&mut self, id: ProxyId) -> Result<(), String> {
+        let known = self.proxies.get_mut(&id).ok_or(format!("{id:?} left but never joined"))?;
+        (known.joined, known.bound, known.since) = (false, false, self.now);
+        self.joins.remove(&id);
+        self.channel.sent.iter_mut().for_each(|sent| sent.waiting.retain(|proxy| *proxy != id));
+        Ok(())
+    }
+
+    pub(crate) fn acked(&mut self, proxy: ProxyId, mark: MarkId) {
+        if let Some(place) = self.channel.sent.iter().position(|sent| sent.mark == mark) {
+            // The channel is in order: what was sent before this message has left it.
+            self.channel.sent[place].waiting.remove(&proxy);
+            self.channel.sent.iter_mut().take(place).for_each(|sent| sent.lines = 0.0);
+        }
     }
 
     /// Books this moment's messages and asks for answers to them.
@@ -175,7 +302,7 @@
     ) {
         let (now, mut waiting) = (self.now, joined.clone());
         for (id, proxy) in self.proxies.iter().filter(|(_, proxy)| proxy.bound) {
-            let own = self.tables.iter().filter(|(_, table)| table.zone == proxy.zone);
+            let own = self.tables.iter().filter(|(_, table)| table.serves(*id, proxy));
             let count: usize = own.filter_map(|(id, _)| lines.get(id)).sum();
             if count > 0 {
                 sum += self.message_lines(count);
@@ -206,7 +333,7 @@
     }
 
     /// The mean time of an invocation (geometric, by what nodes serve).
-    pub(crate) fn usual_time(&self) -> f64 {
+    pub(crate) fn mean_time(&self) -> f64 {
         let known = self.nodes.values().filter_map(|n| Some((n.sojourn.get()?.max(1e-6).ln(), n.peak)));
         let (sum, weights) = known.fold((0.0, 0.0), |sum, (time, rate)| (sum.0 + time * rate, sum.1 + rate));
         (sum / weights.max(1e-9)).exp()
--- a/crates/wheelspread/src/scenarios.rs
+++ b/crates/wheelspread/src/scenarios.rs
@@ -294,6 +294,15 @@
                 let count = self.changed.iter().filter(|change| change.0 >= number(time)).count();
                 within(count as f64, range)
             }
+            ["parts", zone, count] => {
+                let zone = ZoneId(number(zone) as u16);
+                let own = self.balancer.iter().flat_map(|b| b.tables.values()).filter(|t| t.zone == zone);
+                own.filter(|table| !table.lines.is_empty()).count() as f64 == number(count)
+            }
+            ["disjoint", t, u] => {
+                let shared = |name: &&NodeId| self.tables[&table(u)].contains_key(name);
+                self.tables[&table(t)].keys().filter(shared).count() <= 1 // one at the border
+            }
             ["error", rest @ ..] => self.error.contains(&rest.join(" ")),
             ["no", "error"] => self.error.is_empty(),
             [t, name, range] => within(share(t, name).unwrap_or(0.0), range),
@@ -361,6 +370,8 @@
 #[test_case(include_str!("../scenarios/restart_overload.txt"); "a start in the middle of an overload cuts")]
 #[test_case(include_str!("../scenarios/cold.txt"); "cold nodes stay under their limit")]
 #[test_case(include_str!("../scenarios/cold_avoided.txt"); "cold nodes stay out while proxies avoid the rest")]
+#[test_case(include_str!("../scenarios/parts.txt"); "a large zone falls into parts")]
+#[test_case(include_str!("../scenarios/starved_steps.txt"); "levels leave steps their messages")]
 #[test_case(include_str!("../scenarios/storm.txt"); "a storm of joins stays within the channel")]
 #[test_case(include_str!("../scenarios/restart.txt"); "a restart with a stale list")]
 #[test_case(include_str!("../scenarios/health.txt"); "silent nodes leave and are tried again, busy ones stay")]
--- a/crates/wheelspread/src/state.rs
+++ b/crates/wheelspread/src/state.rs
@@ -20,7 +20,7 @@
     pub(crate) now: Moment,
     pub(crate) operations: Vec<Operation>,
     pub(crate) nodes: BTreeMap<NodeId, Node>,
-    pub(crate) paths: BTreeMap<(ZoneId, NodeId), Path>,
+    pub(crate) paths: BTreeMap<(NodeId, ZoneId), Path>,
     pub(crate) proxies: BTreeMap<ProxyId, Proxy>,
     pub(crate) tables: BTreeMap<TableId, Table>,
     pub(crate) peers: BTreeMap<PeerId, PeerView>,
@@ -30,16 +30,21 @@
     pub(crate) admission: Admission,
     /// The shortest mean time that each kind of node has shown.
     pub(crate) quickest: BTreeMap<KindId, f64>,
+    /// By kind, what a warm node of listed weight 1 does and was seen to serve; the usual time.
+    pub(crate) each: BTreeMap<KindId, (f64, Option<f64>)>,
+    pub(crate) usual_time: f64,
     /// When sums last came, and whether any have not been learnt from.
     pub(crate) heard: Moment,
     pub(crate) news: bool,
     /// When the first sums since the start came.
     pub(crate) sums_since: Option<Moment>,
-    /// Whether the list or health changed since the last step.
+    /// Whether the list or health changed since the last step, and the list since the last moment settled.
     pub(crate) moved: bool,
+    pub(crate) rush: bool,
     pub(crate) told_peers: Moment,
     pub(crate) ticks: u64,
     pub(crate) next_tick: Moment,
+    pub(crate) settled: Moment,
 }
 
 impl Balancer {
@@ -58,11 +63,15 @@
             random: Pcg::new(seed),
             heard: now,
             news: false,
+            each: BTreeMap::new(),
+            usual_time: 0.0,
             sums_since: None,
             moved: true,
+            rush: true,
             told_peers: now,
             ticks: 0,
             next_tick: now,
+            settled: Moment::default(),
             facts,
             now,
             operations,
@@ -229,6 +238,9 @@
 pub struct Table {
     pub zone: ZoneId,
     pub stays: bool,
+    /// Which part of the zone's proxies uses it, of how many; 0 while undivided and unknown.
+    pub part: u16,
+    pub parts: u16,
     pub operations: Vec<OperationId>,
     pub lines: BTreeMap<NodeId, f64>,
     pub levels: BTreeMap<OperationId, (f64, Retry)>,
@@ -248,6 +260,10 @@
         }
         tables
     }
+
+    pub fn serves(&self, id: ProxyId, proxy: &Proxy) -> bool {
+        proxy.zone == self.zone && id.0 % self.parts.max(1) == self.part
+    }
 }
 
 #[derive(Clone, Debug, Default)]
@@ -255,43 +271,41 @@
     pub heard: Moment,
     pub proxies: f64,
     pub demand: BTreeMap<(ZoneId, bool), f64>,
-    pub rates: BTreeMap<NodeId, f64>,
+    pub rates: BTreeMap<NodeId, (f64, Moment)>,
 }
 
 impl PeerView {
-    /// A note between conductors: proxies joined, what is asked for in each table, what nodes serve.
-    pub fn write(proxies: usize, demand: &[f64], rates: &Shares, longest: usize) -> Vec<u8> {
+    /// A note between conductors: proxies joined, what is asked for by sort of table, what nodes serve.
+    pub fn write(proxies: usize, demand: &[f64], rates: &[(NodeId, f64)]) -> Vec<u8> {
         let mut bytes = (proxies.min(65535) as u16).to_le_bytes().to_vec();
         bytes.extend(demand.iter().flat_map(|rate| (*rate as f32).to_le_bytes()));
         for (id, rate) in rates {
-            if bytes.len() + 8 <= longest {
-                bytes.extend(id.address);
-                bytes.extend(id.port.to_le_bytes());
-                bytes.extend(((rate * 64.0).min(65535.0) as u16).to_le_bytes());
-            }
+            bytes.extend(id.address);
+            bytes.extend(id.port.to_le_bytes());
+            bytes.extend(((rate * 64.0).min(65535.0) as u16).to_le_bytes());
         }
         bytes
     }
 
-    pub fn read(bytes: &[u8], tables: &BTreeMap<TableId, Table>, now: Moment) -> Option<PeerView> {
-        let head = 2 + 4 * tables.len();
+    /// Takes in a note; what it doesn't speak of stands as it was told before.
+    pub fn read(&mut self, bytes: &[u8], sorts: &[(ZoneId, bool)], now: Moment) -> Option<()> {
+        let head = 2 + 4 * sorts.len();
         if bytes.len() < head || !(bytes.len() - head).is_multiple_of(8) {
             return None;
         }
-        let proxies = f64::from(u16::from_le_bytes([bytes[0], bytes[1]]));
-        let mut view = PeerView { heard: now, proxies, ..PeerView::default() };
-        for (table, four) in tables.values().zip(bytes[2..].chunks_exact(4)) {
+        (self.heard, self.proxies) = (now, f64::from(u16::from_le_bytes([bytes[0], bytes[1]])));
+        for (sort, four) in sorts.iter().zip(bytes[2..].chunks_exact(4)) {
             let demand = f64::from(f32::from_le_bytes(four.try_into().ok()?));
             if demand.is_finite() && demand >= 0.0 {
-                view.demand.insert((table.zone, table.stays), demand);
+                self.demand.insert(*sort, demand);
             }
         }
         for line in bytes[head..].chunks_exact(8) {
             let (address, port) = (line[..4].try_into().ok()?, u16::from_le_bytes([line[4], line[5]]));
             let rate = f64::from(u16::from_le_bytes([line[6], line[7]])) / 64.0;
-            view.rates.insert(NodeId { address, port }, rate);
+            self.rates.insert(NodeId { address, port }, (rate, now));
         }
-        Some(view)
+        Some(())
     }
 }
 
