Evidence is dated by its own span: cycles of sums, silence between sums counts as nothing

Proxies with few invocations send a line only when there were some, so their demand read too high. What counted in periods counts in cycles now. Harm: judgement is slower where sums are slow.

--- a/crates/wheelspread/src/balance.rs
+++ b/crates/wheelspread/src/balance.rs
@@ -99,8 +99,8 @@
 const MOVES: (f64, f64) = (0.06, 0.12); // to a line's weight: smaller is not sent; starts a step by itself
 const WEIGHT_SUM: f64 = 100.0; // of a table that is written for the first time
 const DUST: f64 = 0.002; // of a table's traffic: smaller lines are left out
-const MEMORY: f64 = 6.0; // to the sums' period: how long measures are remembered
-const STALE: f64 = 3.0; // to the sums' period: a path not heard of for longer has no rate
+const MEMORY: f64 = 6.0; // to the sums' cycle: how long measures are remembered
+const STALE: f64 = 3.0; // to the sums' cycle: a path not heard of for longer has no rate
 const PEERS: (f64, f64) = (12.0, 2.0); // sums' periods: how long a peer's note stands; between two
 const PRIOR: f64 = 3.0; // full periods: what the kind's mean counts beside a node's own sums
 const EVIDENCE: f64 = 5.0; // invocations: as many weigh as half a full period
@@ -128,7 +128,7 @@
 const AVOIDED: f64 = 0.1; // chance of such a run of errors: with more, proxies avoid many nodes
 const FAILING: (f64, f64) = (0.8, 0.4); // of tries; of the others' tries: erring so much, all err alike
 const FEWEST_ERRORS: f64 = 3.0; // tries: fewer prove nothing
-const JUDGED_OVER: usize = 5; // sums' periods
+const JUDGED_OVER: f64 = 5.0; // sums' cycles
 const OVERRUN: f64 = 0.7; // of the latency objective: errors of so slow a node are its load's
 const TRIAL_PART: f64 = 0.2; // to a node's usual weight
 const HOLD: (f64, f64, f64) = (4.0, 1.5, 4.0); // to period plus longest delay; growth; at most, to the first
@@ -168,10 +168,10 @@
                 self.node_sums(*zone, *node, event);
             }
             Event::Offered { proxy, operation, count, over, .. } => {
-                let memory = self.period() * (MEMORY / 3.0);
+                self.heard_sums(*over);
+                let (memory, now, before) = (self.cycle() * (MEMORY / 3.0), self.now, self.heard_before);
                 let known = self.proxies.get_mut(proxy).ok_or(format!("load of unknown {proxy:?}"))?;
-                known.demand.entry(*operation).or_default().feed(count / over.seconds(), *over, memory);
-                self.heard = now;
+                known.demand.entry(*operation).or_default().feed(*count, *over, memory, now, before);
             }
             Event::Acked { proxy, mark, .. } => self.acked(*proxy, *mark),
             Event::PeerNote { from, bytes } => {
@@ -223,31 +223,30 @@
 
     fn node_sums(&mut self, zone: ZoneId, id: NodeId, event: &Event) {
         let Event::NodeSums { tries, errored, latency, over, load, .. } = event else { return };
-        let (now, period, memory) = (self.now, self.period(), self.period() * MEMORY);
-        let served = tries - errored;
-        let field = |at: usize| self.facts.text(&format!("report.field.{at}")).unwrap_or("");
-        let busy =
-            load.iter().enumerate().find(|(at, _)| field(*at) == "utilization").map(|(_, value)| *value);
+        self.heard_sums(*over);
+        let (now, period, before, memory) =
+            (self.now, self.period(), self.heard_before, self.cycle() * MEMORY);
+        let (succeeded, seconds) = (tries - errored, latency.seconds().clamp(0.0, 60.0));
+        let is_busy = |at: usize| self.facts.text(&format!("report.field.{at}")) == Ok("utilization");
+        let busy = (0..load.len()).find(|at| is_busy(*at)).map(|at| load[at]).filter(|busy| *busy >= 0.0);
         let Some(node) = self.nodes.get_mut(&id) else { return };
-        if served > 0.0 && *latency > Span::ZERO {
-            let covers = *over * (served / (served + 2.0));
-            node.sojourn.feed(latency.seconds().min(60.0), covers, memory * 0.3);
+        if succeeded > 0.0 && seconds > 0.0 {
+            node.sojourn.feed(seconds, *over * (succeeded / (succeeded + 2.0)), memory * 0.3);
         }
-        if let Some(busy) = busy.filter(|busy| *busy >= 0.0) {
+        if let Some(busy) = busy {
             node.utilization.feed(busy.min(1.0), *over, memory * 0.5);
         }
         node.news = node.news.max(*over);
-        node.fresh +=
-            Work { tries: *tries, errored: *errored, seconds: served * latency.seconds().clamp(0.0, 60.0) };
-        let path = self.paths.entry((id, zone)).or_insert_with(|| Path::new(now, Ring::new(period, 8)));
-        path.rate.feed(tries / over.seconds(), *over, memory);
-        path.served.feed(served / over.seconds(), *over, memory);
+        node.fresh += Work { tries: *tries, errored: *errored, seconds: succeeded * seconds };
+        let path = self.paths.entry((id, zone)).or_insert_with(|| Path::new(now, Ring::new(period, 24)));
+        path.rate.feed(*tries, *over, memory, now, before);
+        path.succeeded.feed(succeeded, *over, memory, now, before);
         path.heard = now;
         // Evidence is as old as its period: sums from before a trial began say nothing of it.
         if path.standing != Standing::Trial || now - *over - period * 0.5 > path.since {
             path.sums.add(now, Work { tries: *tries, errored: *errored, seconds: 0.0 });
         }
-        (self.heard, self.news) = (now, true);
+        self.news = true;
         self.sums_since.get_or_insert(now);
     }
 
@@ -258,7 +257,7 @@
     }
 
     fn rate_at(&self, id: NodeId) -> f64 {
-        self.own_rate(id, self.heard - self.period() * STALE) + self.peers_rate(id, self.peers_since())
+        self.own_rate(id, self.heard - self.cycle() * STALE) + self.peers_rate(id, self.peers_since())
     }
 
     /// How busy a node is, of 1. Where reports don't say, from how much longer its invocations take
@@ -297,7 +296,7 @@
             return;
         }
         self.note_quickest();
-        let (memory, objective) = (self.period() * MEMORY, self.objective());
+        let (memory, objective) = (self.cycle() * MEMORY, self.objective());
         let fade = (-0.5 / MEMORY).exp();
         let time = |node: &Node| {
             let base = self.quickest.get(&node.kind).copied().unwrap_or(objective).sqrt();
@@ -411,23 +410,23 @@
     /// its weight falls instead. Harm: the others carry more, which the bound on nodes out keeps small.
     fn judge(&mut self) {
         let (now, nodes) = (self.now, self.open_nodes().len() as f64);
-        let first = (self.period() + self.span("channel.delay_at_most")) * HOLD.0;
+        let first = (self.cycle() + self.span("channel.delay_at_most")) * HOLD.0;
         let mut zones = self.met_by_zone(JUDGED_OVER);
         for key in self.paths.keys().copied().collect::<Vec<_>>() {
             let path = &self.paths[&key];
-            let (recent, (zone, out)) = (path.sums.last(now, JUDGED_OVER), zones[&key.1]);
+            let (recent, (zone, out)) = (self.lately(path, JUDGED_OVER), zones[&key.1]);
             let others = (zone.errored - recent.errored) / (zone.tries - recent.tries).max(1.0);
-            let served = recent.tries - recent.errored;
+            let succeeded = recent.tries - recent.errored;
             let slow = self.nodes.get(&key.0).and_then(|node| node.sojourn.get());
             let overrun =
-                served >= FEWEST_ERRORS && slow.is_some_and(|time| time > self.objective() * OVERRUN);
+                succeeded >= FEWEST_ERRORS && slow.is_some_and(|time| time > self.objective() * OVERRUN);
             let mostly = others < FAILING.1 && recent.errored > recent.tries * FAILING.0;
             let met = match path.standing {
                 Standing::Clear if overrun || (out + 1) as f64 >= nodes * OUT_AT_MOST => continue,
                 Standing::Clear if mostly && recent.errored >= FEWEST_ERRORS => Met::Failing,
                 Standing::Out if now - path.since > path.hold => Met::HeldLong,
                 Standing::Trial if mostly && recent.errored >= FEWEST_ERRORS - 1.0 => Met::Failing,
-                Standing::Trial if served >= FEWEST_ERRORS => Met::Working,
+                Standing::Trial if succeeded >= FEWEST_ERRORS => Met::Working,
                 _ => continue,
             };
             let Some(row) = STANDING.iter().find(|row| row.0 == path.standing && row.1 == met) else {
@@ -439,7 +438,7 @@
                 Hold::Longer => (path.hold * HOLD.1).min(first * HOLD.2),
             };
             zones.entry(key.1).and_modify(|zone| zone.1 += usize::from(row.2 == Standing::Out));
-            let fresh = Path::new(now, Ring::new(self.period(), 8));
+            let fresh = Path::new(now, Ring::new(self.period(), 24));
             self.paths.insert(key, Path { standing: row.2, hold, ..fresh });
             self.moved = true;
         }
@@ -449,7 +448,7 @@
     /// be taken out may still be too much to keep.
     fn usable(&self, zone: ZoneId, id: NodeId) -> f64 {
         let Some(path) = self.paths.get(&(id, zone)) else { return 1.0 };
-        let recent = path.sums.last(self.now, JUDGED_OVER);
+        let recent = self.lately(path, JUDGED_OVER);
         let erring = (recent.errored - 1.0).max(0.0) / (recent.tries + 2.0);
         match path.standing {
             Standing::Clear => (1.0 - erring).powi(2).max(0.05),
@@ -480,10 +479,10 @@
             (tries / totals.values().sum::<f64>().max(1e-6)).max(1.0) * self.beyond(self.peers_since());
         // Proxies that avoid what errs leave the whole load to the lines that don't, however small their
         // weight. While runs of errors that long are common, a cold node gets no line beside warm ones.
-        let (met, run) = (self.met(2, |_| true), self.fact("proxy.errors_until_avoided"));
+        let (met, run) = (self.met(2.0, |_| true), self.fact("proxy.errors_until_avoided"));
         let erring = (met.errored / met.tries.max(1.0)).powf(run) > AVOIDED;
         // After a restart nothing is known of that, so it counts as common until sums have come.
-        let blind = self.sums_since.is_none_or(|since| self.now - since < self.period() * BLIND);
+        let blind = self.sums_since.is_none_or(|since| self.now - since < self.cycle() * BLIND);
         let avoided = run > 0.0 && (erring || blind);
         let cold = |id: &NodeId| self.cold(id);
         for lines in draft.values_mut().filter(|lines| avoided && !lines.keys().all(cold)) {
@@ -730,7 +729,7 @@
                 (sum, rates) = (sum + rate * pressure, rates + rate);
             }
         }
-        let met = self.met(2, |_| true);
+        let met = self.met(2.0, |_| true);
         if zone.is_none() && met.errored > met.tries * ERRING {
             return 1.0;
         }
@@ -747,13 +746,13 @@
         // The effect of a cut shows only when sums from after it arrive, so each cut waits for them.
         if strain < 1.0 {
             self.admission.ease = (self.admission.ease + EASE.2).min(1.0);
-        } else if self.now - self.admission.eased > self.period() * EASE.3 {
+        } else if self.now - self.admission.eased > self.cycle() * EASE.3 {
             self.admission.ease = (self.admission.ease * EASE.0).max(EASE.1);
             self.admission.eased = self.now;
         }
         self.admission.busy = match strain {
             strain if strain >= STRAINED => Busy::Strained,
-            strain if strain < CALM.0 && self.now - self.admission.excited > self.period() * CALM.1 => {
+            strain if strain < CALM.0 && self.now - self.admission.excited > self.cycle() * CALM.1 => {
                 Busy::Calm
             }
             _ => Busy::Usual,
@@ -983,7 +982,7 @@
             return;
         }
         self.told_peers = self.now;
-        let notes = self.notes(self.heard - self.period() * STALE, 256);
+        let notes = self.notes(self.heard - self.cycle() * STALE, 256);
         out.extend(notes.into_iter().map(|bytes| Action::Tell { peer: None, bytes }));
     }
 }
--- a/crates/wheelspread/src/measure.rs
+++ b/crates/wheelspread/src/measure.rs
@@ -73,6 +73,29 @@
         Span::from_seconds(self.fact("sums.period").clamp(0.05, 60.0))
     }
 
+    /// How long a whole set of sums takes to come: a period, or more where lines come at a limited rate.
+    pub(crate) fn cycle(&self) -> Span {
+        self.period().max(Span::from_seconds(self.sums_span.get().unwrap_or(0.0)))
+    }
+
+    /// The same, as often as told, in buckets of a path's ring.
+    fn buckets(&self, cycles: f64) -> usize {
+        (self.cycle().seconds() / self.period().seconds() * cycles).round() as usize
+    }
+
+    /// Notes that sums over such a span came now.
+    pub(crate) fn heard_sums(&mut self, over: Span) {
+        if self.now > self.heard {
+            (self.heard_before, self.heard) = (self.heard, self.now);
+        }
+        self.sums_span.feed(over.seconds(), Span::from_seconds(1.0), Span::from_seconds(300.0));
+    }
+
+    /// What a path met in the last few cycles.
+    pub(crate) fn lately(&self, path: &Path, cycles: f64) -> Work {
+        path.sums.last(self.now, self.buckets(cycles))
+    }
+
     /// The shortest latency objective.
     pub(crate) fn objective(&self) -> f64 {
         self.operations.iter().map(|o| o.objective.seconds()).fold(f64::INFINITY, f64::min).min(60.0)
@@ -107,12 +130,12 @@
     }
 
     pub(crate) fn demand(&self, proxy: &Proxy, operations: &[OperationId]) -> f64 {
-        operations.iter().filter_map(|o| proxy.demand.get(o).and_then(Smooth::get)).sum()
+        operations.iter().filter_map(|o| proxy.demand.get(o).and_then(Flow::get)).sum()
     }
 
     pub(crate) fn demand_by(&self, counts: impl Fn(&Proxy) -> bool) -> f64 {
         let all = self.proxies.values().filter(|proxy| counts(proxy));
-        all.flat_map(|proxy| proxy.demand.values()).filter_map(Smooth::get).sum()
+        all.flat_map(|proxy| proxy.demand.values()).filter_map(Flow::get).sum()
     }
 
     pub(crate) fn level_is_share(&self) -> bool {
@@ -137,7 +160,7 @@
         let (mut sum, share) = (0.0, self.level_is_share());
         for (_, proxy) in self.proxies.iter().filter(|(id, p)| p.joined && table.serves(**id, p)) {
             for operation in &table.operations {
-                let asked = proxy.demand.get(operation).and_then(Smooth::get).unwrap_or(0.0);
+                let asked = proxy.demand.get(operation).and_then(Flow::get).unwrap_or(0.0);
                 let quota = table.levels.get(operation).map_or(f64::INFINITY, |level| level.0);
                 sum += if share { asked * quota.min(1.0) } else { asked.min(quota) };
             }
@@ -179,7 +202,7 @@
     /// What a node is seen to serve for own proxies, by sums that came since `since`.
     pub(crate) fn own_rate(&self, id: NodeId, since: Moment) -> f64 {
         let own = self.paths.range((id, ZoneId(0))..=(id, ZoneId(u16::MAX)));
-        own.filter(|(_, path)| path.heard >= since).filter_map(|(_, path)| path.served.get()).sum()
+        own.filter(|(_, path)| path.heard >= since).filter_map(|(_, path)| path.succeeded.get()).sum()
     }
 
     pub(crate) fn peers_rate(&self, id: NodeId, since: Moment) -> f64 {
@@ -187,11 +210,11 @@
         told.filter(|(_, heard)| *heard >= since).map(|(rate, _)| rate).sum()
     }
 
-    /// Tries and errors of the last few periods, where the path counts.
-    pub(crate) fn met(&self, periods: usize, counts: impl Fn(&(NodeId, ZoneId)) -> bool) -> Work {
+    /// Tries and errors of the last few cycles, where the path counts.
+    pub(crate) fn met(&self, cycles: f64, counts: impl Fn(&(NodeId, ZoneId)) -> bool) -> Work {
         let mut sum = Work::default();
         let paths = self.paths.iter().filter(|(key, _)| counts(key));
-        paths.for_each(|(_, path)| sum += path.sums.last(self.now, periods));
+        paths.for_each(|(_, path)| sum += self.lately(path, cycles));
         sum
     }
 
@@ -201,11 +224,11 @@
     }
 
     /// The same by zone, with the nodes that are out there.
-    pub(crate) fn met_by_zone(&self, periods: usize) -> BTreeMap<ZoneId, (Work, usize)> {
+    pub(crate) fn met_by_zone(&self, cycles: f64) -> BTreeMap<ZoneId, (Work, usize)> {
         let mut zones = BTreeMap::<ZoneId, (Work, usize)>::new();
         for ((_, zone), path) in &self.paths {
             let sum = zones.entry(*zone).or_default();
-            sum.0 += path.sums.last(self.now, periods);
+            sum.0 += self.lately(path, cycles);
             sum.1 += usize::from(path.standing == Standing::Out);
         }
         zones
@@ -269,7 +292,7 @@
         let written = Ring::new(Span::from_seconds(window / 20.0), 22);
         let known = self.proxies.remove(&id).map(|proxy| proxy.demand).filter(|demand| !demand.is_empty());
         let usual = if usual_rate.is_finite() { usual_rate.max(0.0) } else { 0.0 };
-        let part = Smooth::at(usual / self.operations.len().max(1) as f64);
+        let part = Flow::at(usual / self.operations.len().max(1) as f64);
         let demand = known.unwrap_or_else(|| self.operations.iter().map(|o| (o.id, part)).collect());
         self.proxies.insert(id, Proxy { zone, joined: true, bound: false, since: self.now, demand, written });
         self.joins.insert(id);
--- a/crates/wheelspread/src/state.rs
+++ b/crates/wheelspread/src/state.rs
@@ -36,6 +36,9 @@
     /// When sums last came, and whether any have not been learnt from.
     pub(crate) heard: Moment,
     pub(crate) news: bool,
+    /// When sums came before those of this moment, and the usual span of sums.
+    pub(crate) heard_before: Moment,
+    pub(crate) sums_span: Smooth,
     /// When the first sums since the start came.
     pub(crate) sums_since: Option<Moment>,
     /// Whether the list or health changed since the last step, and the list since the last moment settled.
@@ -62,6 +65,8 @@
         Balancer {
             random: Pcg::new(seed),
             heard: now,
+            heard_before: now,
+            sums_span: Smooth::default(),
             news: false,
             each: BTreeMap::new(),
             usual_time: 0.0,
@@ -160,6 +165,32 @@
     }
 }
 
+/// A rate by sums that come only when there is something to tell: time that none covers was silence, up
+/// to when others were heard.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Flow {
+    rate: Smooth,
+    until: Option<Moment>,
+}
+
+impl Flow {
+    pub fn at(rate: f64) -> Flow {
+        Flow { rate: Smooth::at(rate), until: None }
+    }
+
+    pub fn feed(&mut self, count: f64, over: Span, memory: Span, now: Moment, heard: Moment) {
+        if let Some(until) = self.until {
+            self.rate.feed(0.0, (now - until - over).min(heard - until), memory);
+        }
+        self.rate.feed(count / over.seconds(), over, memory);
+        self.until = Some(now);
+    }
+
+    pub fn get(&self) -> Option<f64> {
+        self.rate.get()
+    }
+}
+
 #[derive(Clone, Debug)]
 pub struct Node {
     pub zone: ZoneId,
@@ -210,16 +241,16 @@
     pub standing: Standing,
     pub since: Moment,
     pub hold: Span,
-    pub rate: Smooth,
-    pub served: Smooth,
+    pub rate: Flow,
+    pub succeeded: Flow,
     pub heard: Moment,
     pub sums: Ring<Work>,
 }
 
 impl Path {
     pub fn new(now: Moment, sums: Ring<Work>) -> Path {
-        let (rate, served) = Default::default();
-        Path { standing: Standing::Clear, since: now, hold: Span::ZERO, rate, served, heard: now, sums }
+        let (rate, succeeded) = Default::default();
+        Path { standing: Standing::Clear, since: now, hold: Span::ZERO, rate, succeeded, heard: now, sums }
     }
 }
 
@@ -229,7 +260,7 @@
     pub joined: bool,
     pub bound: bool,
     pub since: Moment,
-    pub demand: BTreeMap<OperationId, Smooth>,
+    pub demand: BTreeMap<OperationId, Flow>,
     /// Messages written to it.
     pub written: Ring<f64>,
 }
--- a/crates/wheelspread/src/time.rs
+++ b/crates/wheelspread/src/time.rs
@@ -71,6 +71,13 @@
     }
 }
 
+impl Sub for Span {
+    type Output = Span;
+    fn sub(self, less: Span) -> Span {
+        Span(self.0.saturating_sub(less.0))
+    }
+}
+
 impl Mul<f64> for Span {
     type Output = Span;
     fn mul(self, factor: f64) -> Span {
