--- a/crates/wheelspread/src/balance.rs
+++ b/crates/wheelspread/src/balance.rs
@@ -136,7 +136,7 @@
 const WRITES: (f64, f64, f64) = (0.55, 0.4, 0.8); // of a proxy's messages: steps, hurried ones, cold limits
 const WAITING: (f64, f64, f64) = (0.1, 0.5, 0.7); // of lines that may wait: before a step, with it, joins
 const RUSH: f64 = 0.05; // sums' periods between two moments that news of the list or joins bring forward
-const PARTS: (f64, f64, f64) = (4.0, 8.0, 0.2); // uses of a line while idle; least lines; tables a proxy
+const PARTS: (f64, f64, f64) = (10.0, 6.0, 0.2); // uses of a line while idle; least lines; tables a proxy
 
 impl Balancer {
     pub fn start(now: Moment, seed: u64, facts: Facts) -> Result<Balancer, String> {
@@ -516,20 +516,18 @@
     /// connection closes, and that the channel could not carry the table. Fixed once proxies have joined.
     fn divide(&mut self) {
         let zones: BTreeSet<ZoneId> = self.tables.values().map(|table| table.zone).collect();
+        let homed = self.facts.flag_or("conductor.joined_by_zone", false);
+        let split = zones.len() as f64 * if homed { 1.0 } else { self.fact("conductor.count").max(1.0) };
         for zone in &zones {
+            let here = |proxy: &Proxy| proxy.joined && proxy.zone == *zone;
+            let known = self.proxies.values().filter(|proxy| here(proxy)).count() as f64;
             let nodes = self.open_nodes().iter().filter(|id| self.nodes[id].zone == *zone).count() as f64;
-            let known = self.proxies.values().filter(|proxy| proxy.joined && proxy.zone == *zone).count();
-            let undivided = self.tables.iter().filter(|(_, t)| t.zone == *zone && t.parts == 0);
-            let own: Vec<TableId> = undivided.map(|(id, _)| *id).collect();
-            if nodes == 0.0 || known == 0 || own.is_empty() {
-                continue;
-            }
-            let rate = self.demand_by(|proxy| proxy.joined && proxy.zone == *zone) / known as f64;
-            let lines = (rate * self.facts.number_or("proxy.connection_idle", 60.0) / PARTS.0).max(PARTS.1);
-            let proxies =
-                self.fact("proxy.count") / self.fact("conductor.count").max(1.0) / zones.len() as f64;
-            let most = proxies * PARTS.2 / own.len() as f64;
-            let parts = (nodes / lines).min(most).clamp(1.0, 999.0) as u16;
+            let new =
+                self.tables.iter().filter(|(_, t)| t.zone == *zone && t.parts == 0 && nodes * known > 0.0);
+            let own: Vec<TableId> = new.map(|(id, _)| *id).collect();
+            let uses = self.demand_by(here) / known.max(1.0) * self.fact("proxy.connection_idle");
+            let most = self.fact("proxy.count") / split * PARTS.2 / own.len().max(1) as f64;
+            let parts = (nodes / (uses / PARTS.0).max(PARTS.1)).min(most).clamp(1.0, 999.0) as u16;
             for (id, part) in own.iter().flat_map(|id| (0..parts).map(move |part| (*id, part))) {
                 let mut table = Table { part, parts, ..self.tables[&id].clone() };
                 if part > 0 {
@@ -719,21 +717,26 @@
 
     // ---- mechanism 4: overload admission ----
 
-    /// Mean load of a zone's nodes, or all, by the tries they get, of 1; full when many tries err.
+    /// Mean load of a zone's nodes, or all, by the tries they get, of 1; full when many tries err at nodes
+    /// that are busy or tell nothing. Errors elsewhere (answers lost on the way, connections refused,
+    /// nodes out of reach) are not the load's, and letting in less would not mend them.
     fn strain(&self, zone: Option<ZoneId>) -> f64 {
-        let (mut sum, mut rates) = (0.0, 0.0);
+        let (mut sum, mut rates, mut met, mut overrun) = (0.0, 0.0, 0.0, 0.0);
         for ((id, _), path) in self.paths.iter().filter(|(key, _)| self.open(key.0)) {
-            let node = &self.nodes[id];
-            if let Some(pressure) = self.pressure(node).filter(|_| zone.is_none_or(|z| z == node.zone)) {
+            let (node, lately) = (&self.nodes[id], self.lately(path, 2.0));
+            let pressure = self.pressure(node);
+            met += lately.tries;
+            overrun += if pressure.is_none_or(|p| p >= CALM.0) { lately.errored } else { 0.0 };
+            if let Some(pressure) = pressure.filter(|_| zone.is_none_or(|z| z == node.zone)) {
                 let rate = path.rate.get().unwrap_or(0.0);
                 (sum, rates) = (sum + rate * pressure, rates + rate);
             }
         }
-        let met = self.met(2.0, |_| true);
-        if zone.is_none() && met.errored > met.tries * ERRING {
-            return 1.0;
+        if zone.is_none() && overrun > met * ERRING {
+            1.0
+        } else {
+            sum / rates.max(1e-6)
         }
-        sum / rates.max(1e-6)
     }
 
     /// Shares to let in, by table and operation. What is asked beyond capacity is turned away at the
@@ -751,10 +754,8 @@
             self.admission.eased = self.now;
         }
         self.admission.busy = match strain {
-            strain if strain >= STRAINED => Busy::Strained,
-            strain if strain < CALM.0 && self.now - self.admission.excited > self.cycle() * CALM.1 => {
-                Busy::Calm
-            }
+            _ if strain >= STRAINED => Busy::Strained,
+            _ if strain < CALM.0 && self.now - self.admission.excited > self.cycle() * CALM.1 => Busy::Calm,
             _ => Busy::Usual,
         };
         if strain >= CALM.0 {
