Cold limit by the root of the factor; newcomers wait four cycles after a start

By symptom: whatever makes most nodes refuse at once. Harm: cold nodes carry somewhat less under a deploy.

--- a/crates/wheelspread/src/balance.rs
+++ b/crates/wheelspread/src/balance.rs
@@ -123,8 +123,8 @@
 const LEAST_LEVEL: [f64; 2] = [0.3, 0.02]; // of an operation's traffic, before the next one is cut
 const LEVELS: (f64, f64) = (0.08, 0.04); // each return, to what is asked; to a level: changes not sent
 pub(crate) const ALL_IN: f64 = 0.97; // of an operation's traffic: larger shares let in all
-const GUARD: (f64, f64) = (0.5, 1.3); // to what pushes a cold node over; to that, before lines are lowered
-const BLIND: f64 = 2.0; // sums' periods after the first sums since the start
+const GUARD: (f64, f64) = (0.75, 1.3); // to the root of what pushes over; to that, before lines are lowered
+const BLIND: f64 = 4.0; // sums' cycles after the first sums since the start
 const AVOIDED: f64 = 0.1; // chance of such a run of errors: with more, proxies avoid many nodes
 const FAILING: (f64, f64) = (0.8, 0.4); // of tries; of the others' tries: erring so much, all err alike
 const FEWEST_ERRORS: f64 = 3.0; // tries: fewer prove nothing
@@ -460,13 +460,13 @@
     // ---- mechanism 3: cold guard ----
 
     /// The most that all proxies together may bring a cold node, far enough under what pushes it over
-    /// that bursts, retries and handshakes still fit. It goes by what warm nodes of its kind are seen to
-    /// serve, never by an estimate of what they could. Also covers a fleet that is mostly cold.
+    /// that bursts and what others turn away still fit: where most nodes refuse, proxies and clients
+    /// repeat, and within a second it gets five times its part. Goes by what warm nodes of its kind are
+    /// seen to serve, never by an estimate of what they could. Also covers a fleet that is mostly cold.
     fn cold_limit(&self, node: &Node) -> f64 {
-        let proven = self.each.get(&node.kind).and_then(|each| each.1);
-        let full =
-            proven.map_or(self.full(node) * USUAL_LOAD, |each| each * node.weight).min(self.full(node));
-        GUARD.0 * self.fact("rules.cold_overload_factor") * self.warmth(node) * full
+        let (full, seen) = (self.full(node), self.each.get(&node.kind).and_then(|each| each.1));
+        let full = seen.map_or(full * USUAL_LOAD, |each| each * node.weight).min(full);
+        GUARD.0 * self.fact("rules.cold_overload_factor").max(0.0).sqrt() * self.warmth(node) * full
     }
 
     /// Lowers a cold node's lines in `draft` until what they bring, with the tries of unheard proxies,
