What is left of a table must not drown; cold limits count other lines by what works

A table whose warm lines are meant to carry less than half of its traffic takes its target whole at once (was: empty, or cold only). By symptom: deploys, preempted or silent nodes, zones that shrink. Harm: one moment outside the order of steps. The guard counts other lines by what works at them.

--- a/crates/wheelspread/src/balance.rs
+++ b/crates/wheelspread/src/balance.rs
@@ -94,13 +94,12 @@
 // Ratios, each to the figure its comment names.
 const ROOM: (f64, f64, f64) = (1.5, 0.5, 1.25); // to a part of traffic; if cold (design); to the most carried
 const HELD: f64 = 0.5; // of the latency objective: mean times below it count as latency held
-const ACK_SHARE: f64 = 0.9; // of the proxies asked (design)
-const STEP_WAIT: f64 = 1.0; // seconds at most for those acks (design)
+const ACKS: (f64, f64) = (0.9, 1.0); // of the proxies asked; seconds at most for them (design)
 const MOVES: (f64, f64) = (0.06, 0.12); // to a line's weight: smaller is not sent; starts a step by itself
 const WEIGHT_SUM: f64 = 100.0; // of a table that is written for the first time
+const KEPT: f64 = 0.5; // of what a table's target gives warm nodes: with less it is taken whole
 const DUST: f64 = 0.002; // of a table's traffic: smaller lines are left out
-const MEMORY: f64 = 6.0; // to the sums' cycle: how long measures are remembered
-const STALE: f64 = 3.0; // to the sums' cycle: a path not heard of for longer has no rate
+const MEMORY: (f64, f64) = (6.0, 3.0); // sums' cycles: of measures; how long an unheard path has a rate
 const PEERS: (f64, f64) = (12.0, 2.0); // sums' periods: how long a peer's note stands; between two
 const PRIOR: f64 = 3.0; // full periods: what the kind's mean counts beside a node's own sums
 const EVIDENCE: f64 = 5.0; // invocations: as many weigh as half a full period
@@ -116,8 +115,7 @@
 const COMFORT: (f64, f64, f64) = (0.6, 3.0, 0.08); // of a zone; more by its price; over the fleet
 const FULL: f64 = 0.77; // of capacity: what admission aims at under overload
 const PROVEN: f64 = 0.95; // of the most a node was lately seen to serve: it can do that again
-const STRAINED: f64 = 0.72; // of capacity: measured load above which admission may cut
-const CALM: (f64, f64) = (0.6, 8.0); // the same, and sums' periods: below it for so long nodes are calm
+const BUSY: (f64, f64, f64) = (0.72, 0.6, 8.0); // measured load: cuts from there on; calm below, after cycles
 const ERRING: f64 = 0.06; // of all tries: with more, the fleet is overrun whatever else is measured
 const EASE: (f64, f64, f64, f64) = (0.85, 0.8, 0.06, 3.0); // a cut for errors, least, return; periods apart
 const LEAST_LEVEL: [f64; 2] = [0.3, 0.02]; // of an operation's traffic, before the next one is cut
@@ -126,8 +124,7 @@
 const GUARD: (f64, f64) = (0.75, 1.3); // to the root of what pushes over; to that, before lines are lowered
 const BLIND: f64 = 4.0; // sums' cycles after the first sums since the start
 const AVOIDED: f64 = 0.1; // chance of such a run of errors: with more, proxies avoid many nodes
-const FAILING: (f64, f64) = (0.8, 0.4); // of tries; of the others' tries: erring so much, all err alike
-const FEWEST_ERRORS: f64 = 3.0; // tries: fewer prove nothing
+const FAILING: (f64, f64, f64) = (0.8, 0.4, 3.0); // of tries; the others' at most; least number of tries
 const JUDGED_OVER: f64 = 5.0; // sums' cycles
 const OVERRUN: f64 = 0.7; // of the latency objective: errors of so slow a node are its load's
 const TRIAL_PART: f64 = 0.2; // to a node's usual weight
@@ -169,7 +166,7 @@
             }
             Event::Offered { proxy, operation, count, over, .. } => {
                 self.heard_sums(*over);
-                let (memory, now, before) = (self.cycle() * (MEMORY / 3.0), self.now, self.heard_before);
+                let (memory, now, before) = (self.cycle() * (MEMORY.0 / 3.0), self.now, self.heard_before);
                 let known = self.proxies.get_mut(proxy).ok_or(format!("load of unknown {proxy:?}"))?;
                 known.demand.entry(*operation).or_default().feed(*count, *over, memory, now, before);
             }
@@ -225,7 +222,7 @@
         let Event::NodeSums { tries, errored, latency, over, load, .. } = event else { return };
         self.heard_sums(*over);
         let (now, period, before, memory) =
-            (self.now, self.period(), self.heard_before, self.cycle() * MEMORY);
+            (self.now, self.period(), self.heard_before, self.cycle() * MEMORY.0);
         let (succeeded, seconds) = (tries - errored, latency.seconds().clamp(0.0, 60.0));
         let is_busy = |at: usize| self.facts.text(&format!("report.field.{at}")) == Ok("utilization");
         let busy = (0..load.len()).find(|at| is_busy(*at)).map(|at| load[at]).filter(|busy| *busy >= 0.0);
@@ -257,7 +254,7 @@
     }
 
     fn rate_at(&self, id: NodeId) -> f64 {
-        self.own_rate(id, self.heard - self.cycle() * STALE) + self.peers_rate(id, self.peers_since())
+        self.own_rate(id, self.heard - self.cycle() * MEMORY.1) + self.peers_rate(id, self.peers_since())
     }
 
     /// How busy a node is, of 1. Where reports don't say, from how much longer its invocations take
@@ -296,8 +293,8 @@
             return;
         }
         self.note_quickest();
-        let (memory, objective) = (self.cycle() * MEMORY, self.objective());
-        let fade = (-0.5 / MEMORY).exp();
+        let (memory, objective) = (self.cycle() * MEMORY.0, self.objective());
+        let fade = (-0.5 / MEMORY.0).exp();
         let time = |node: &Node| {
             let base = self.quickest.get(&node.kind).copied().unwrap_or(objective).sqrt();
             let all = node.fresh.seconds + node.fresh.errored * objective * ERROR_COST;
@@ -419,14 +416,14 @@
             let succeeded = recent.tries - recent.errored;
             let slow = self.nodes.get(&key.0).and_then(|node| node.sojourn.get());
             let overrun =
-                succeeded >= FEWEST_ERRORS && slow.is_some_and(|time| time > self.objective() * OVERRUN);
+                succeeded >= FAILING.2 && slow.is_some_and(|time| time > self.objective() * OVERRUN);
             let mostly = others < FAILING.1 && recent.errored > recent.tries * FAILING.0;
             let met = match path.standing {
                 Standing::Clear if overrun || (out + 1) as f64 >= nodes * OUT_AT_MOST => continue,
-                Standing::Clear if mostly && recent.errored >= FEWEST_ERRORS => Met::Failing,
+                Standing::Clear if mostly && recent.errored >= FAILING.2 => Met::Failing,
                 Standing::Out if now - path.since > path.hold => Met::HeldLong,
-                Standing::Trial if mostly && recent.errored >= FEWEST_ERRORS - 1.0 => Met::Failing,
-                Standing::Trial if succeeded >= FEWEST_ERRORS => Met::Working,
+                Standing::Trial if mostly && recent.errored >= FAILING.2 - 1.0 => Met::Failing,
+                Standing::Trial if succeeded >= FAILING.2 => Met::Working,
                 _ => continue,
             };
             let Some(row) = STANDING.iter().find(|row| row.0 == path.standing && row.1 == met) else {
@@ -472,18 +469,17 @@
     /// Lowers a cold node's lines in `draft` until what they bring, with the tries of unheard proxies,
     /// other conductors and repeats, stays within its limit.
     fn guard(&self, draft: &mut Orders) {
-        let totals: BTreeMap<TableId, f64> =
-            self.tables.iter().map(|(id, t)| (*id, self.traffic(t))).collect();
+        let totals = |(id, table): (&TableId, &Table)| (*id, self.traffic(table));
+        let totals: BTreeMap<TableId, f64> = self.tables.iter().map(totals).collect();
         let tries: f64 = self.paths.values().filter_map(|path| path.rate.get()).sum();
-        let repeated =
-            (tries / totals.values().sum::<f64>().max(1e-6)).max(1.0) * self.beyond(self.peers_since());
+        let traffic = totals.values().sum::<f64>().max(1e-6);
+        let repeated = (tries / traffic).max(1.0) * self.beyond(self.peers_since());
         // Proxies that avoid what errs leave the whole load to the lines that don't, however small their
-        // weight. While runs of errors that long are common, a cold node gets no line beside warm ones.
+        // weight. While runs of errors that long are common, a cold node gets no line beside warm ones. After
+        // a start nothing is known of that, nor of what the kinds can do, until some sums have come.
         let (met, run) = (self.met(2.0, |_| true), self.fact("proxy.errors_until_avoided"));
-        let erring = (met.errored / met.tries.max(1.0)).powf(run) > AVOIDED;
-        // After a restart nothing is known of that, so it counts as common until sums have come.
         let blind = self.sums_since.is_none_or(|since| self.now - since < self.cycle() * BLIND);
-        let avoided = run > 0.0 && (erring || blind);
+        let avoided = run > 0.0 && (blind || (met.errored / met.tries.max(1.0)).powf(run) > AVOIDED);
         let cold = |id: &NodeId| self.cold(id);
         for lines in draft.values_mut().filter(|lines| avoided && !lines.keys().all(cold)) {
             lines.retain(|id, _| !cold(id));
@@ -495,10 +491,13 @@
         for (id, node) in self.nodes.iter().filter(|(_, node)| node.life == Life::Cold) {
             let limit = self.cold_limit(node);
             let limit = (limit - self.peers_rate(*id, self.peers_since())).max(limit * 0.3);
-            let part = |lines: &Shares| lines.get(id).map_or(0.0, |w| w / lines.values().sum::<f64>());
-            let load = |draft: &Orders| -> f64 {
-                draft.iter().map(|(t, lines)| totals[t] * part(lines)).sum::<f64>() * repeated
+            // What doesn't work elsewhere comes back to the lines that do, so those count by what works.
+            let part = |(t, lines): (&TableId, &Shares)| {
+                let works = |n: &NodeId| if n == id { 1.0 } else { self.usable(self.tables[t].zone, *n) };
+                let own = totals[t] * lines.get(id)?;
+                Some(own / lines.iter().map(|(n, w)| w * works(n)).sum::<f64>().max(1e-9))
             };
+            let load = |draft: &Orders| draft.iter().filter_map(part).sum::<f64>() * repeated;
             // A line near its limit stays: each lowering costs every proxy a message.
             for _ in 0..if load(draft) > limit * GUARD.1 { 5 } else { 0 } {
                 let lower = (limit / load(draft).max(1e-9)).min(1.0);
@@ -704,12 +703,15 @@
 
     // ---- what can't wait ----
 
-    /// Drained and gone nodes leave at once; a table left empty, or with cold nodes only, is filled at once.
+    /// Drained and gone nodes leave at once. A table whose warm lines are then meant to carry less than half
+    /// of its traffic takes its whole target at once: the few lines left would drown, and cold ones fall.
     fn urgent(&self, targets: &Orders, draft: &mut Orders) {
         for (id, lines) in draft {
             lines.retain(|node, _| self.open(*node));
-            let warm = |node: &NodeId| self.open(*node) && !self.cold(node);
-            if lines.is_empty() || (!lines.keys().any(warm) && targets[id].keys().any(warm)) {
+            let warm = |node: &&NodeId| self.open(**node) && !self.cold(node);
+            let part = |node: &NodeId| targets[id].get(node).copied().unwrap_or(0.0);
+            let meant: f64 = targets[id].keys().filter(warm).map(part).sum();
+            if lines.is_empty() || lines.keys().filter(warm).map(part).sum::<f64>() < meant * KEPT {
                 *lines = targets[id].iter().map(|(node, share)| (*node, share * WEIGHT_SUM)).collect();
             }
         }
@@ -726,7 +728,7 @@
             let (node, lately) = (&self.nodes[id], self.lately(path, 2.0));
             let pressure = self.pressure(node);
             met += lately.tries;
-            overrun += if pressure.is_none_or(|p| p >= CALM.0) { lately.errored } else { 0.0 };
+            overrun += if pressure.is_none_or(|p| p >= BUSY.1) { lately.errored } else { 0.0 };
             if let Some(pressure) = pressure.filter(|_| zone.is_none_or(|z| z == node.zone)) {
                 let rate = path.rate.get().unwrap_or(0.0);
                 (sum, rates) = (sum + rate * pressure, rates + rate);
@@ -754,15 +756,14 @@
             self.admission.eased = self.now;
         }
         self.admission.busy = match strain {
-            _ if strain >= STRAINED => Busy::Strained,
-            _ if strain < CALM.0 && self.now - self.admission.excited > self.cycle() * CALM.1 => Busy::Calm,
+            _ if strain >= BUSY.0 => Busy::Strained,
+            _ if strain < BUSY.1 && self.now - self.admission.excited > self.cycle() * BUSY.2 => Busy::Calm,
             _ => Busy::Usual,
         };
-        if strain >= CALM.0 {
+        if strain >= BUSY.1 {
             self.admission.excited = self.now;
         }
-        let nodes = self.open_nodes();
-        let demand = self.zone_demand(self.peers_since());
+        let (nodes, demand) = (self.open_nodes(), self.zone_demand(self.peers_since()));
         let all: f64 = demand.values().sum();
         let capacity: f64 = nodes.iter().map(|id| self.able(*id).max(self.nodes[id].peak * PROVEN)).sum();
         let mut excess = (all - FULL * self.admission.ease * capacity).max(0.0);
@@ -777,7 +778,7 @@
             shares.entry(*id).and_modify(|share| *share -= cut / asked.max(1e-6));
         }
         for (id, table) in &self.tables {
-            let local = table.stays && self.strain(Some(table.zone)) >= STRAINED;
+            let local = table.stays && self.strain(Some(table.zone)) >= BUSY.0;
             let own = nodes.iter().filter(|n| self.nodes[n].zone == table.zone);
             let able: f64 = own.map(|n| self.able(*n)).sum();
             let most = able / demand[&(table.zone, table.stays)].max(1e-6);
@@ -825,16 +826,16 @@
     fn may_order(&self) -> bool {
         let early = self.moved && self.may_write(WRITES.1);
         let pace = if early { self.period() * 0.2 } else { self.pace(WRITES.0) };
-        let paced = self.channel.last_orders.is_none_or(|at| self.now - at >= pace);
-        let room = self.outstanding() <= WAITING.1 * self.fact("channel.lines_waiting_at_most");
-        paced && room && self.may_write(WRITES.0 + 0.1)
+        self.channel.last_orders.is_none_or(|at| self.now - at >= pace)
+            && self.outstanding() <= WAITING.1 * self.fact("channel.lines_waiting_at_most")
+            && self.may_write(WRITES.0 + 0.1)
     }
 
     /// Whether the last step has arrived, or long enough ago, and the channel is nearly empty.
     fn may_step(&self) -> bool {
         let last = self.channel.sent.iter().rev().find(|sent| sent.step);
-        let waited = |sent: &Sent| self.now - sent.at >= Span::from_seconds(STEP_WAIT);
-        let answered = |sent: &Sent| sent.waiting.len() as f64 <= sent.asked as f64 * (1.0 - ACK_SHARE);
+        let waited = |sent: &Sent| self.now - sent.at >= Span::from_seconds(ACKS.1);
+        let answered = |sent: &Sent| sent.waiting.len() as f64 <= sent.asked as f64 * (1.0 - ACKS.0);
         last.is_none_or(|sent| answered(sent) || waited(sent))
             && self.outstanding() <= WAITING.0 * self.fact("channel.lines_waiting_at_most")
     }
@@ -978,13 +979,12 @@
 
     /// Tells the other conductors what is asked for here and what each node serves of it.
     fn tell_peers(&mut self, out: &mut Vec<Action>) {
-        let waited = self.now - self.told_peers >= self.period() * PEERS.1;
-        if !(waited && self.facts.flag_or("peers.may_tell", false) && self.fact("conductor.count") > 1.0) {
-            return;
+        let may = self.facts.flag_or("peers.may_tell", false) && self.fact("conductor.count") > 1.0;
+        if may && self.now - self.told_peers >= self.period() * PEERS.1 {
+            self.told_peers = self.now;
+            let notes = self.notes(self.heard - self.cycle() * MEMORY.1, 256);
+            out.extend(notes.into_iter().map(|bytes| Action::Tell { peer: None, bytes }));
         }
-        self.told_peers = self.now;
-        let notes = self.notes(self.heard - self.cycle() * STALE, 256);
-        out.extend(notes.into_iter().map(|bytes| Action::Tell { peer: None, bytes }));
     }
 }
 
