Kinds are told apart before nodes; errored tries count as one objective

Times of a kind are known at once: a step by the kind's distance to the fleet, then one by the node's to its kind. An errored try counted as two objectives and pushed kinds to and fro under overload; it counts as one.

--- a/crates/wheelspread/src/balance.rs
+++ b/crates/wheelspread/src/balance.rs
@@ -76,9 +76,8 @@
     (Standing::Trial, Met::Working, Standing::Clear, Hold::Same),
 ];
 
-/// Retry orders: whether a repeat can't take effect twice, how busy nodes are; the order. A try that may
-/// be followed is given up early, so unless nodes are calm each slow answer is work done twice; under
-/// strain (no row) even a proven repeat only adds load.
+/// Retry orders: whether a repeat can't take effect twice, how busy nodes are; the order. What may be
+/// followed is given up early, work done twice unless nodes are calm; under strain any repeat is load.
 const RETRY: &[(bool, Busy, Retry)] = &[
     (true, Busy::Calm, Retry::OnceAfterAnyFailure),
     (true, Busy::Usual, Retry::AfterProofItNeverRan),
@@ -97,18 +96,18 @@
 const ACKS: (f64, f64) = (0.9, 1.0); // of the proxies asked; seconds at most for them (design)
 const MOVES: (f64, f64) = (0.06, 0.12); // to a line's weight: smaller is not sent; starts a step by itself
 const WEIGHT_SUM: f64 = 100.0; // of a table that is written for the first time
-const KEPT: f64 = 0.5; // of what a table's target gives warm nodes: with less it is taken whole
+const KEPT: f64 = 0.35; // of what a table's target gives warm nodes: with less it is taken whole
 const DUST: f64 = 0.002; // of a table's traffic: smaller lines are left out
 const MEMORY: (f64, f64) = (6.0, 3.0); // sums' cycles: of measures; how long an unheard path has a rate
 const PEERS: (f64, f64) = (12.0, 2.0); // sums' periods: how long a peer's note stands; between two
 const PRIOR: f64 = 3.0; // full periods: what the kind's mean counts beside a node's own sums
 const EVIDENCE: f64 = 5.0; // invocations: as many weigh as half a full period
 const FIRST_SUMS: f64 = 1.5; // full periods that teach no capacity yet
-const LEARN: f64 = 0.12; // of the distance to the fleet's time, each period
+const LEARN: (f64, f64) = (0.22, 0.12); // a period, of a kind's distance in time to the fleet, a node's to it
 const QUEUE: (f64, f64, f64) = (0.12, 3.4, 0.65); // wait at the quickest, and the shape of load over wait
 const FORGET: (f64, f64) = (1.003, 0.02); // each period: the quickest time; a figure's distance to its kind
 const ERRS_MUCH: f64 = 0.25; // of a node's tries: its times and rates are its queue's
-const ERROR_COST: f64 = 2.0; // to the latency objective: what an errored try counts as
+const ERROR_COST: f64 = 1.0; // to the latency objective: what an errored try counts as
 const UNHEARD: f64 = 0.15; // of demand: with more of it out of reach, sums teach nothing
 const SLOWER: (f64, f64, f64) = (0.3, 0.4, 1.25); // power of the ratio of times, least and most it changes
 const USUAL_LOAD: f64 = 0.6; // of capacity, assumed before anything is heard
@@ -301,10 +300,12 @@
             (all / node.fresh.tries.max(1.0) / base).max(1e-6).ln()
         };
         let times: BTreeMap<NodeId, f64> = self.nodes.iter().map(|(id, node)| (*id, time(node))).collect();
-        let weighed = |sum: (f64, f64), (id, node): (&NodeId, &Node)| {
-            (sum.0 + node.fresh.tries * times[id], sum.1 + node.fresh.tries)
-        };
-        let (sum, tries) = self.nodes.iter().fold((0.0, 0.0), weighed);
+        let (mut kinds, mut all) = (BTreeMap::<KindId, (f64, f64)>::new(), (0.0, 0.0));
+        for (id, node) in &self.nodes {
+            for sum in [kinds.entry(node.kind).or_default(), &mut all] {
+                *sum = (sum.0 + node.fresh.tries * times[id], sum.1 + node.fresh.tries);
+            }
+        }
         for id in self.open_nodes() {
             let (rate, pressure) = (self.rate_at(id), self.pressure(&self.nodes[&id]));
             let prior = (self.full(&self.nodes[&id]) * self.warmth(&self.nodes[&id])).max(1e-3).ln();
@@ -319,19 +320,21 @@
             }
             let weight = fresh.tries / (fresh.tries + EVIDENCE);
             node.evidence += 2.0 * weight;
-            // Its queue is better than nothing: with no figure at all, as after a start in the middle of an
-            // overload, admission would never cut.
+            // With no figure at all, as after a start in the middle of an overload, its queue must do.
             let erring = fresh.errored > fresh.tries * ERRS_MUCH && node.capacity.get().is_some();
             match node.utilization.get().and(pressure) {
-                // The first reports speak of the time before the load came, and a node that errs much shows
-                // its queue, not its speed.
+                // The first reports speak of the time before; a node that errs much shows its queue.
                 Some(busy) if busy > 0.1 && rate > 0.0 && node.evidence > FIRST_SUMS && !erring => {
                     node.capacity.feed((rate / busy).ln(), news * (2.0 * weight).min(1.0), memory);
                 }
                 Some(_) => {}
                 None => {
                     let old = node.capacity.get().unwrap_or(prior);
-                    let step = LEARN * weight * (sum / tries - times[&id]).clamp(-1.0, 1.0);
+                    // A kind is told from the others long before a node is from its kind.
+                    let (kind, tries) = kinds[&node.kind];
+                    let apart = (all.0 / all.1 - kind / tries).clamp(-1.0, 1.0) * tries / (tries + EVIDENCE);
+                    let step = weight * (kind / tries - times[&id]).clamp(-1.0, 1.0);
+                    let step = LEARN.0 * apart + LEARN.1 * step;
                     node.capacity = Smooth::at(old + step - FORGET.1 * (old - prior));
                 }
             }
@@ -414,9 +417,8 @@
             let (recent, (zone, out)) = (self.lately(path, JUDGED_OVER), zones[&key.1]);
             let others = (zone.errored - recent.errored) / (zone.tries - recent.tries).max(1.0);
             let succeeded = recent.tries - recent.errored;
-            let slow = self.nodes.get(&key.0).and_then(|node| node.sojourn.get());
-            let overrun =
-                succeeded >= FAILING.2 && slow.is_some_and(|time| time > self.objective() * OVERRUN);
+            let time = self.nodes.get(&key.0).and_then(|node| node.sojourn.get()).unwrap_or(0.0);
+            let overrun = succeeded >= FAILING.2 && time > self.objective() * OVERRUN;
             let mostly = others < FAILING.1 && recent.errored > recent.tries * FAILING.0;
             let met = match path.standing {
                 Standing::Clear if overrun || (out + 1) as f64 >= nodes * OUT_AT_MOST => continue,
@@ -865,8 +867,7 @@
         let targets = self.targets();
         let mut draft: Orders = self.tables.iter().map(|(id, table)| (*id, table.lines.clone())).collect();
         self.urgent(&targets, &mut draft);
-        let mut lines: BTreeMap<TableId, usize> = BTreeMap::new();
-        let orders = self.may_order();
+        let (orders, mut lines) = (self.may_order(), BTreeMap::new());
         let step = orders && self.may_step();
         if step {
             self.plan(&targets, &mut draft);
@@ -891,9 +892,8 @@
         self.proxies.retain(|_, proxy| proxy.joined || now - proxy.since < long);
     }
 
-    /// Sends the lines by which `draft` differs from what stands; a weight only when it moved enough. Where
-    /// the channel has no room for all of a table's, lines that lose weight wait, but for what rules call
-    /// for: a table that has lost lines and not got others may run empty.
+    /// Sends the lines by which `draft` differs from what stands, a weight only when it moved enough. Where
+    /// the channel lacks room, lines that lose weight wait, lest a table run empty, but for the rules'.
     fn publish(&mut self, draft: &Orders, lines: &mut BTreeMap<TableId, usize>, out: &mut Vec<Action>) {
         let lower = self.may_write(WRITES.2);
         let mut left = self.fact("channel.lines_waiting_at_most") * WAITING.1 - self.outstanding();
