Cold limits go with orders, joins count what the moment writes

They go with orders, or with news of the list. Cold lines counted the others by what works there also where proxies avoid nothing: a restarted kind got 6% of sends while the rest drowned. Now only where proxies avoid what errs. Joins count what the moment writes; steps give way to joins.

--- a/crates/wheelspread/src/balance.rs
+++ b/crates/wheelspread/src/balance.rs
@@ -493,10 +493,10 @@
         for (id, node) in self.nodes.iter().filter(|(_, node)| node.life == Life::Cold) {
             let limit = self.cold_limit(node);
             let limit = (limit - self.peers_rate(*id, self.peers_since())).max(limit * 0.3);
-            // What doesn't work elsewhere comes back to the lines that do, so those count by what works.
+            // Where proxies avoid what errs, others' part comes to the lines that work: they count by that.
             let part = |(t, lines): (&TableId, &Shares)| {
-                let works = |n: &NodeId| if n == id { 1.0 } else { self.usable(self.tables[t].zone, *n) };
-                let own = totals[t] * lines.get(id)?;
+                let (zone, own) = (self.tables[t].zone, totals[t] * lines.get(id)?);
+                let works = |n: &NodeId| if n == id || run <= 0.0 { 1.0 } else { self.usable(zone, *n) };
                 Some(own / lines.iter().map(|(n, w)| w * works(n)).sum::<f64>().max(1e-9))
             };
             let load = |draft: &Orders| draft.iter().filter_map(part).sum::<f64>() * repeated;
@@ -736,10 +736,9 @@
                 (sum, rates) = (sum + rate * pressure, rates + rate);
             }
         }
-        if zone.is_none() && overrun > met * ERRING {
-            1.0
-        } else {
-            sum / rates.max(1e-6)
+        match zone {
+            None if overrun > met * ERRING => 1.0,
+            _ => sum / rates.max(1e-6),
         }
     }
 
@@ -857,7 +856,7 @@
         } else if (!self.rush && self.joins.is_empty()) || now - self.settled < self.period() * RUSH {
             return;
         }
-        (self.rush, self.settled) = (false, now);
+        self.settled = now;
         self.forget();
         self.note_means();
         self.learn();
@@ -867,19 +866,21 @@
         let targets = self.targets();
         let mut draft: Orders = self.tables.iter().map(|(id, table)| (*id, table.lines.clone())).collect();
         self.urgent(&targets, &mut draft);
-        let (orders, mut lines) = (self.may_order(), BTreeMap::new());
+        let orders = self.may_order();
         let step = orders && self.may_step();
         if step {
             self.plan(&targets, &mut draft);
             self.moved = false;
         }
         self.guard(&mut draft);
-        self.publish(&draft, &mut lines, out);
+        // Each by itself, cold limits once took all the messages allowed and no step went out for 12 s.
+        let lower = (std::mem::take(&mut self.rush) || orders) && self.may_write(WRITES.2);
+        let mut lines = self.publish(&draft, lower, out);
         if orders {
             self.channel.last_orders = Some(now);
             self.publish_levels(&mut lines, out);
         }
-        let (joined, join_lines) = self.join(out);
+        let (joined, join_lines) = self.join(&lines, out);
         self.register(&lines, &joined, join_lines, step, out);
         self.tell_peers(out);
     }
@@ -894,9 +895,10 @@
 
     /// Sends the lines by which `draft` differs from what stands, a weight only when it moved enough. Where
     /// the channel lacks room, lines that lose weight wait, lest a table run empty, but for the rules'.
-    fn publish(&mut self, draft: &Orders, lines: &mut BTreeMap<TableId, usize>, out: &mut Vec<Action>) {
-        let lower = self.may_write(WRITES.2);
-        let mut left = self.fact("channel.lines_waiting_at_most") * WAITING.1 - self.outstanding();
+    fn publish(&mut self, draft: &Orders, lower: bool, out: &mut Vec<Action>) -> BTreeMap<TableId, usize> {
+        let most = if self.joins.is_empty() { WAITING.1 } else { WAITING.0 };
+        let most = self.fact("channel.lines_waiting_at_most") * most;
+        let (mut left, mut lines) = (most - self.outstanding(), BTreeMap::new());
         for id in self.tables.keys().copied().collect::<Vec<_>>() {
             let (table, goal) = (&self.tables[&id], &draft[&id]);
             let typical = goal.values().sum::<f64>() / goal.len().max(1) as f64;
@@ -925,10 +927,11 @@
             for (node, new, _) in changes {
                 table.lines.insert(node, new);
                 out.push(Action::SetLine { table: id, node, weight: new });
-                *lines.entry(id).or_default() += 1;
+                *lines.entry(id).or_insert(0) += 1;
             }
             table.lines.retain(|_, weight| *weight > 0.0);
         }
+        lines
     }
 
     fn publish_levels(&mut self, lines: &mut BTreeMap<TableId, usize>, out: &mut Vec<Action>) {
@@ -953,23 +956,20 @@
     // ---- mechanism 6: joining and restart recovery ----
 
     /// Binds who joined, at once; only a channel near its limit makes some wait.
-    fn join(&mut self, out: &mut Vec<Action>) -> (BTreeSet<ProxyId>, f64) {
-        let limit = self.fact("channel.lines_waiting_at_most") * WAITING.2;
+    fn join(&mut self, lines: &BTreeMap<TableId, usize>, out: &mut Vec<Action>) -> (BTreeSet<ProxyId>, f64) {
+        let limit = self.fact("channel.lines_waiting_at_most") * WAITING.2 - self.to_send(lines).1;
         let (mut sum, mut done) = (0.0, BTreeSet::new());
         for id in self.joins.clone() {
             let Some(proxy) = self.proxies.get(&id) else { continue };
-            let own = self.tables.iter().filter(|(_, t)| t.serves(id, proxy) && !t.lines.is_empty());
-            let own: Vec<_> = own.collect();
+            let serves = |(_, t): &(&TableId, &Table)| t.serves(id, proxy) && !t.lines.is_empty();
+            let own: Vec<_> = self.tables.iter().filter(serves).collect();
             let lines = self.message_lines(own.iter().map(|(_, t)| 1 + t.lines.len() + t.levels.len()).sum());
             if own.is_empty() || self.outstanding() + sum + lines > limit {
                 continue;
             }
-            let bind = |(table, bound): (&TableId, &Table)| Action::Bind {
-                proxy: id,
-                table: *table,
-                operations: bound.operations.clone(),
-            };
-            out.extend(own.into_iter().map(bind));
+            for (table, Table { operations, .. }) in own {
+                out.push(Action::Bind { proxy: id, table: *table, operations: operations.clone() });
+            }
             sum += lines;
             done.insert(id);
         }
--- a/crates/wheelspread/src/measure.rs
+++ b/crates/wheelspread/src/measure.rs
@@ -314,33 +314,41 @@
         }
     }
 
+    /// Who gets a message by lines changed in tables, and how many lines that makes, heads included.
+    pub(crate) fn to_send(&self, lines: &BTreeMap<TableId, usize>) -> (BTreeSet<ProxyId>, f64) {
+        let (mut to, mut sum) = (BTreeSet::new(), 0.0);
+        for (id, proxy) in self.proxies.iter().filter(|(_, proxy)| proxy.bound) {
+            let own = self.tables.iter().filter(|(_, table)| table.serves(*id, proxy));
+            let count: usize = own.filter_map(|(id, _)| lines.get(id)).sum();
+            if count > 0 {
+                sum += self.message_lines(count);
+                to.insert(*id);
+            }
+        }
+        (to, sum)
+    }
+
     /// Books this moment's messages and asks for answers to them.
     pub(crate) fn register(
         &mut self,
         lines: &BTreeMap<TableId, usize>,
         joined: &BTreeSet<ProxyId>,
-        mut sum: f64,
+        join_lines: f64,
         step: bool,
         out: &mut Vec<Action>,
     ) {
-        let (now, mut waiting) = (self.now, joined.clone());
-        for (id, proxy) in self.proxies.iter().filter(|(_, proxy)| proxy.bound) {
-            let own = self.tables.iter().filter(|(_, table)| table.serves(*id, proxy));
-            let count: usize = own.filter_map(|(id, _)| lines.get(id)).sum();
-            if count > 0 {
-                sum += self.message_lines(count);
-                waiting.insert(*id);
-            }
-        }
+        let (mut waiting, sum) = self.to_send(lines);
+        waiting.extend(joined);
+        let now = self.now;
         for (_, proxy) in self.proxies.iter_mut().filter(|(id, _)| waiting.contains(id)) {
             proxy.bound = true;
             proxy.written.add(now, 1.0);
         }
         if !waiting.is_empty() {
             self.channel.next = (self.channel.next + 1) % 65536;
-            let (mark, asked) = (MarkId(self.channel.next), waiting.len());
+            let (mark, asked, lines) = (MarkId(self.channel.next), waiting.len(), sum + join_lines);
             out.push(Action::Mark { mark, everyone: false });
-            self.channel.sent.push_back(Sent { mark, at: now, lines: sum, asked, waiting, step });
+            self.channel.sent.push_back(Sent { mark, at: now, lines, asked, waiting, step });
         }
     }
 
