What errs in part gets less by the root; time lost on the way is not load

The queue that a node tells of bounds the load its times suggest, and errors count at strained nodes only. Cause 2: weights by the square of what works shunned struck nodes, which idled while the others drowned; now by its root, as a failed try costs a repeat. The cold guard goes on counting by the square. Harm: a node that fails fast and looks unloaded keeps more traffic until most of its tries err.

--- a/crates/wheelspread/src/balance.rs
+++ b/crates/wheelspread/src/balance.rs
@@ -105,9 +105,9 @@
 const FIRST_SUMS: f64 = 1.5; // full periods that teach no capacity yet
 const LEARN: (f64, f64) = (0.22, 0.12); // a period, of a kind's distance in time to the fleet, a node's to it
 const QUEUE: (f64, f64, f64) = (0.12, 3.4, 0.65); // wait at the quickest, and the shape of load over wait
+const QUEUED: (f64, f64) = (0.66, 0.3); // the most load without a queue; more for each invocation waiting
 const FORGET: (f64, f64) = (1.003, 0.02); // each period: the quickest time; a figure's distance to its kind
-const ERRS_MUCH: f64 = 0.25; // of a node's tries: its times and rates are its queue's
-const ERROR_COST: f64 = 1.0; // to the latency objective: what an errored try counts as
+const ERRS: (f64, f64) = (0.25, 1.0); // of tries: with more its queue shows; objectives an errored try counts
 const UNHEARD: f64 = 0.15; // of demand: with more of it out of reach, sums teach nothing
 const SLOWER: (f64, f64, f64) = (0.3, 0.4, 1.25); // power of the ratio of times, least and most it changes
 const USUAL_LOAD: f64 = 0.6; // of capacity, assumed before anything is heard
@@ -205,11 +205,11 @@
 
     fn tell(&mut self, id: NodeId, told: Told) {
         let Some(node) = self.nodes.get_mut(&id) else { return };
-        let Some(row) = LIFE.iter().find(|row| row.0 == node.life && row.1 == told) else { return };
+        let Some(row) = LIFE.iter().find(|row| (row.0, row.1) == (node.life, told)) else { return };
         (node.life, node.told, self.moved, self.rush) = (row.2, self.now, true, true);
         if row.3 == Measures::Forget {
             // A process that started anew is another one: nothing measured before speaks of it.
-            (node.capacity, node.utilization, node.sojourn) = Default::default();
+            (node.capacity, node.utilization, node.queue, node.sojourn) = Default::default();
             (node.evidence, node.carried, node.peak) = (0.0, 0.0, 0.0);
         }
         if row.3 != Measures::Keep {
@@ -223,14 +223,16 @@
         let (now, period, before, memory) =
             (self.now, self.period(), self.heard_before, self.cycle() * MEMORY.0);
         let (succeeded, seconds) = (tries - errored, latency.seconds().clamp(0.0, 60.0));
-        let is_busy = |at: usize| self.facts.text(&format!("report.field.{at}")) == Ok("utilization");
-        let busy = (0..load.len()).find(|at| is_busy(*at)).map(|at| load[at]).filter(|busy| *busy >= 0.0);
+        let named = |at: usize, name| self.facts.text(&format!("report.field.{at}")) == Ok(name);
+        let told =
+            |name| (0..load.len()).find(|at| named(*at, name)).map(|at| load[at]).filter(|v| *v >= 0.0);
+        let (busy, queue) = (told("utilization"), told("queue"));
         let Some(node) = self.nodes.get_mut(&id) else { return };
         if succeeded > 0.0 && seconds > 0.0 {
             node.sojourn.feed(seconds, *over * (succeeded / (succeeded + 2.0)), memory * 0.3);
         }
-        if let Some(busy) = busy {
-            node.utilization.feed(busy.min(1.0), *over, memory * 0.5);
+        for (told, most, known) in [(busy, 1.0, &mut node.utilization), (queue, 1e3, &mut node.queue)] {
+            told.iter().for_each(|told| known.feed(told.min(most), *over, memory * 0.5));
         }
         node.news = node.news.max(*over);
         node.fresh += Work { tries: *tries, errored: *errored, seconds: succeeded * seconds };
@@ -257,13 +259,14 @@
     }
 
     /// How busy a node is, of 1. Where reports don't say, from how much longer its invocations take
-    /// than those of its kind did at their quickest (the shape is that of a queue before a few cores).
-    /// Queue lengths and service times don't serve here: they stay at nothing until it is too late.
+    /// than those of its kind did at their quickest (the shape is that of a queue before a few cores),
+    /// as far as the queue it tells of allows: time lost on the way is not its load, and a cut for it never
+    /// ends. Queues alone don't serve: they stay at nothing until it is too late.
     fn pressure(&self, node: &Node) -> Option<f64> {
         node.utilization.get().or_else(|| {
             let wait = (node.sojourn.get()? / self.quickest.get(&node.kind)? - 1.0).max(0.0) + QUEUE.0;
             let y = QUEUE.1 * wait.powf(QUEUE.2);
-            Some(y / (1.0 + y))
+            Some((y / (1.0 + y)).min(node.queue.get().map_or(1.0, |queue| QUEUED.0 + QUEUED.1 * queue)))
         })
     }
 
@@ -296,7 +299,7 @@
         let fade = (-0.5 / MEMORY.0).exp();
         let time = |node: &Node| {
             let base = self.quickest.get(&node.kind).copied().unwrap_or(objective).sqrt();
-            let all = node.fresh.seconds + node.fresh.errored * objective * ERROR_COST;
+            let all = node.fresh.seconds + node.fresh.errored * objective * ERRS.1;
             (all / node.fresh.tries.max(1.0) / base).max(1e-6).ln()
         };
         let times: BTreeMap<NodeId, f64> = self.nodes.iter().map(|(id, node)| (*id, time(node))).collect();
@@ -321,7 +324,7 @@
             let weight = fresh.tries / (fresh.tries + EVIDENCE);
             node.evidence += 2.0 * weight;
             // With no figure at all, as after a start in the middle of an overload, its queue must do.
-            let erring = fresh.errored > fresh.tries * ERRS_MUCH && node.capacity.get().is_some();
+            let erring = fresh.errored > fresh.tries * ERRS.0 && node.capacity.get().is_some();
             match node.utilization.get().and(pressure) {
                 // The first reports speak of the time before; a node that errs much shows its queue.
                 Some(busy) if busy > 0.1 && rate > 0.0 && node.evidence > FIRST_SUMS && !erring => {
@@ -428,9 +431,8 @@
                 Standing::Trial if succeeded >= FAILING.2 => Met::Working,
                 _ => continue,
             };
-            let Some(row) = STANDING.iter().find(|row| row.0 == path.standing && row.1 == met) else {
-                continue;
-            };
+            let row = STANDING.iter().find(|row| (row.0, row.1) == (path.standing, met));
+            let Some(row) = row else { continue };
             let hold = match row.3 {
                 Hold::First => first * (0.9 + 0.2 * self.random.unit()),
                 Hold::Same => path.hold,
@@ -443,14 +445,14 @@
         }
     }
 
-    /// The part of a node's capacity that a zone should use. What errs in part gets less: too little to
-    /// be taken out may still be too much to keep.
+    /// The part of a node's capacity that a zone should use. What errs in part gets less, by the root of
+    /// what works: a try that fails is made again, but a node that is shunned drowns the others.
     fn usable(&self, zone: ZoneId, id: NodeId) -> f64 {
         let Some(path) = self.paths.get(&(id, zone)) else { return 1.0 };
         let recent = self.lately(path, JUDGED_OVER);
         let erring = (recent.errored - 1.0).max(0.0) / (recent.tries + 2.0);
         match path.standing {
-            Standing::Clear => (1.0 - erring).powi(2).max(0.05),
+            Standing::Clear => (1.0 - erring).sqrt().max(0.05),
             Standing::Trial => TRIAL_PART,
             Standing::Out => 0.0,
         }
@@ -496,7 +498,8 @@
             // Where proxies avoid what errs, others' part comes to the lines that work: they count by that.
             let part = |(t, lines): (&TableId, &Shares)| {
                 let (zone, own) = (self.tables[t].zone, totals[t] * lines.get(id)?);
-                let works = |n: &NodeId| if n == id || run <= 0.0 { 1.0 } else { self.usable(zone, *n) };
+                let works =
+                    |n: &NodeId| if n == id || run <= 0.0 { 1.0 } else { self.usable(zone, *n).powi(4) };
                 Some(own / lines.iter().map(|(n, w)| w * works(n)).sum::<f64>().max(1e-9))
             };
             let load = |draft: &Orders| draft.iter().filter_map(part).sum::<f64>() * repeated;
@@ -730,7 +733,7 @@
             let (node, lately) = (&self.nodes[id], self.lately(path, 2.0));
             let pressure = self.pressure(node);
             met += lately.tries;
-            overrun += if pressure.is_none_or(|p| p >= BUSY.1) { lately.errored } else { 0.0 };
+            overrun += if pressure.is_none_or(|p| p >= BUSY.0) { lately.errored } else { 0.0 };
             if let Some(pressure) = pressure.filter(|_| zone.is_none_or(|z| z == node.zone)) {
                 let rate = path.rate.get().unwrap_or(0.0);
                 (sum, rates) = (sum + rate * pressure, rates + rate);
@@ -749,12 +752,12 @@
     /// follows the errors rather than the estimate.
     fn admit(&mut self) {
         let strain = self.strain(None);
-        // The effect of a cut shows only when sums from after it arrive, so each cut waits for them.
+        // Each cut waits for sums from after it.
         if strain < 1.0 {
             self.admission.ease = (self.admission.ease + EASE.2).min(1.0);
         } else if self.now - self.admission.eased > self.cycle() * EASE.3 {
-            self.admission.ease = (self.admission.ease * EASE.0).max(EASE.1);
-            self.admission.eased = self.now;
+            (self.admission.ease, self.admission.eased) =
+                ((self.admission.ease * EASE.0).max(EASE.1), self.now);
         }
         self.admission.busy = match strain {
             _ if strain >= BUSY.0 => Busy::Strained,
@@ -781,21 +784,18 @@
         for (id, table) in &self.tables {
             let local = table.stays && self.strain(Some(table.zone)) >= BUSY.0;
             let own = nodes.iter().filter(|n| self.nodes[n].zone == table.zone);
-            let able: f64 = own.map(|n| self.able(*n)).sum();
+            let able = own.map(|n| self.able(*n)).sum::<f64>();
             let most = able / demand[&(table.zone, table.stays)].max(1e-6);
             let limit = |id: &NodeId| self.cold(id).then(|| self.cold_limit(&self.nodes[id]));
             let limits: Option<Vec<f64>> = table.lines.keys().map(limit).collect();
-            let asked = self.asked(table);
-            let cold_only = limits.map_or(1.0, |limits| limits.iter().sum::<f64>() / asked.max(1e-6));
+            let asked = self.asked(table).max(1e-6);
+            let cold_only = limits.map_or(1.0, |limits| limits.iter().sum::<f64>() / asked);
             for operation in &table.operations {
                 let before = self.admission.let_in.get(&(*id, *operation)).copied().unwrap_or(1.0);
                 let share = if local && able > 0.0 { shares[operation].min(most) } else { shares[operation] };
                 let rise = before + LEVELS.0 * (before + 0.2).min(1.0);
-                let share = if self.admission.busy == Busy::Strained || local {
-                    share.min(rise)
-                } else {
-                    share.max(rise)
-                };
+                let tight = local || self.admission.busy == Busy::Strained;
+                let share = if tight { share.min(rise) } else { share.max(rise) };
                 let share = if table.lines.is_empty() { share } else { share.min(cold_only) };
                 self.admission.let_in.insert((*id, *operation), share.clamp(LEAST_LEVEL[1], 1.0));
             }
--- a/crates/wheelspread/src/state.rs
+++ b/crates/wheelspread/src/state.rs
@@ -202,6 +202,8 @@
     /// When the list last changed what it says of this node.
     pub told: Moment,
     pub utilization: Smooth,
+    /// Invocations that it says wait there.
+    pub queue: Smooth,
     pub sojourn: Smooth,
     /// Logarithm of the invocations a second that it can do.
     pub capacity: Smooth,
@@ -225,6 +227,7 @@
             life: Life::Unlisted,
             told: now,
             utilization: Smooth::default(),
+            queue: Smooth::default(),
             sojourn: Smooth::default(),
             capacity: Smooth::default(),
             evidence: 0.0,
