--- a/crates/wheelspread/src/balance.rs
+++ b/crates/wheelspread/src/balance.rs
@@ -289,14 +289,14 @@
     /// is not reported, nodes that take longer than the fleet does get less, in small steps. Sums that
     /// show only a part of what nodes get, as while many proxies are unheard, teach nothing.
     fn learn(&mut self) {
-        let alone = self.fact("conductor.count") <= 1.0;
         let unheard = self.demand_by(|proxy| !proxy.joined) / self.demand_by(|_| true).max(1e-6);
-        if !std::mem::take(&mut self.news) || (alone && unheard > UNHEARD) {
+        let partial = self.fact("conductor.count") <= 1.0 && unheard > UNHEARD;
+        if !std::mem::take(&mut self.news) || partial {
             return;
         }
         self.note_quickest();
-        let (memory, objective) = (self.cycle() * MEMORY.0, self.objective());
-        let fade = (-0.5 / MEMORY.0).exp();
+        let (memory, objective, fade) = (self.cycle() * MEMORY.0, self.objective(), (-0.5 / MEMORY.0).exp());
+        let by_kind = if self.admission.busy == Busy::Strained { 0.0 } else { LEARN.0 };
         let time = |node: &Node| {
             let base = self.quickest.get(&node.kind).copied().unwrap_or(objective).sqrt();
             let all = node.fresh.seconds + node.fresh.errored * objective * ERRS.1;
@@ -333,12 +333,12 @@
                 Some(_) => {}
                 None => {
                     let old = node.capacity.get().unwrap_or(prior);
-                    // A kind is told from the others long before a node is from its kind.
+                    // A kind is told from others before a node is from its kind; under strain by queues only.
                     let (kind, tries) = kinds[&node.kind];
                     let apart = (all.0 / all.1 - kind / tries).clamp(-1.0, 1.0) * tries / (tries + EVIDENCE);
-                    let step = weight * (kind / tries - times[&id]).clamp(-1.0, 1.0);
-                    let step = LEARN.0 * apart + LEARN.1 * step;
-                    node.capacity = Smooth::at(old + step - FORGET.1 * (old - prior));
+                    let own = weight * (kind / tries - times[&id]).clamp(-1.0, 1.0);
+                    let step = by_kind * apart + LEARN.1 * own - FORGET.1 * (old - prior);
+                    node.capacity = Smooth::at(old + step);
                 }
             }
             if node.sojourn.get().is_some_and(|sojourn| sojourn < objective * HELD) {
@@ -733,7 +733,7 @@
             let (node, lately) = (&self.nodes[id], self.lately(path, 2.0));
             let pressure = self.pressure(node);
             met += lately.tries;
-            overrun += if pressure.is_none_or(|p| p >= BUSY.0) { lately.errored } else { 0.0 };
+            overrun += if pressure.is_none_or(|p| p >= BUSY.1) { lately.errored } else { 0.0 };
             if let Some(pressure) = pressure.filter(|_| zone.is_none_or(|z| z == node.zone)) {
                 let rate = path.rate.get().unwrap_or(0.0);
                 (sum, rates) = (sum + rate * pressure, rates + rate);
