--- a/crates/wheelspread/src/balance.rs
+++ b/crates/wheelspread/src/balance.rs
@@ -2,8 +2,8 @@
 //! a moment and `settle` once at the end of that moment: it writes the orders that are due. Events
 //! and actions are in `interface.rs`, what is remembered in `state.rs`, plain sums in `measure.rs`.
 //!
-//! The design (docs/design.md) decides the ordinary path: `targets` says where traffic should go,
-//! `plan` orders the way there so that no node gets more than its room while tables change.
+//! The design (docs/design.md) decides the ordinary path: `targets` says where traffic should go, `plan`
+//! orders the way there within every node's room. Large zones fall into parts (`divide`).
 //! Six mechanisms stand beside it:
 //! 1. speed estimate: `learn`, `able`      4. overload admission: `admit`, RETRY
 //! 2. node health: `judge`, STANDING       5. channel ledger: `may_order`, `may_step`
@@ -285,7 +285,7 @@
         }
     }
 
-    /// Reads new sums into the estimates: capacity is what is served at full utilization; where that
+    /// Reads new sums into the estimates: capacity is what succeeds at full utilization; where that
     /// is not reported, nodes that take longer than the fleet does get less, in small steps. Sums that
     /// show only a part of what nodes get, as while many proxies are unheard, teach nothing.
     fn learn(&mut self) {
--- a/crates/wheelspread/src/scenarios.rs
+++ b/crates/wheelspread/src/scenarios.rs
@@ -7,7 +7,7 @@
 //!     expect ..                            what the tables and messages must then be
 //!
 //! Commands: `list` and `change` (entries `a:z0:w2:k1:young=3:draining`), `join p0 z0 20`, `leave p0`,
-//! `sums z0 a tries=9 errored=1 ms=150 busy=0.5`, `offered p0 o0 20`, `ack`, `tick`, `note N`, `restart`.
+//! `sums z0 a,b tries=9 errored=1 ms=150 busy=0.5`, `offered p0 o0 20`, `ack`, `tick`, `note N`, `restart`.
 //! `alone` before `carried a 30`, `lines t0 a=1 b=2`, `target t0 b=1` and `plan` drives single steps of
 //! the design, with nothing settled in between.
 
@@ -143,6 +143,15 @@
                 let entries = entries.iter().map(|text| self.entry(text)).collect();
                 self.hear(Event::List { kind: ListKind::Changes, entries });
             }
+            ["join" | "sums" | "leave", first, second @ ..] if words[1..].iter().any(|w| w.contains(',')) => {
+                let (zone, names) =
+                    if words[0] == "sums" { (Some(first), second[0]) } else { (None, *first) };
+                let rest = if zone.is_some() { &second[1..] } else { second };
+                for name in names.split(',') {
+                    let one = [&words[..1], zone.map_or(&[][..], std::slice::from_ref), &[name], rest];
+                    self.command(&one.concat());
+                }
+            }
             ["join", proxy, zone, rate] => {
                 let (proxy, zone) = (ProxyId(number(proxy) as u16), ZoneId(number(zone) as u16));
                 self.joined.insert(proxy);
--- a/crates/wheelspread/src/state.rs
+++ b/crates/wheelspread/src/state.rs
@@ -209,7 +209,7 @@
     pub capacity: Smooth,
     pub evidence: f64,
     pub carried: f64,
-    /// The most it lately served, a second; fades.
+    /// The most that lately succeeded there, a second; fades.
     pub peak: f64,
     pub news: Span,
     /// Sums not yet learnt from.
