No cold lines beside warm ones in a zone that is not heard of

By symptom: cuts, conductors that lose and regain proxies, reports that stop. Harm: newcomers of such a zone wait.

--- a/crates/wheelspread/src/balance.rs
+++ b/crates/wheelspread/src/balance.rs
@@ -479,14 +479,16 @@
         let traffic = totals.values().sum::<f64>().max(1e-6);
         let repeated = (tries / traffic).max(1.0) * self.beyond(self.peers_since());
         // Proxies that avoid what errs leave the whole load to the lines that don't, however small their
-        // weight. While runs of errors that long are common, a cold node gets no line beside warm ones. After
-        // a start nothing is known of that, nor of what the kinds can do, until some sums have come.
+        // weight. While runs of errors that long are common, a cold node gets no line beside warm ones; nor
+        // while none can be known of: some cycles after a start, or in a zone not heard of, as after a cut.
         let (met, run) = (self.met(2.0, |_| true), self.fact("proxy.errors_until_avoided"));
-        let blind = self.sums_since.is_none_or(|since| self.now - since < self.cycle() * BLIND);
-        let avoided = run > 0.0 && (blind || (met.errored / met.tries.max(1.0)).powf(run) > AVOIDED);
+        let since = self.now - self.cycle() * BLIND;
+        let blind = self.sums_since.is_none_or(|first| first > since);
+        let erring = blind || (met.errored / met.tries.max(1.0)).powf(run) > AVOIDED;
+        let heard = |zone| self.paths.iter().any(|(key, path)| key.1 == zone && path.heard >= since);
         let cold = |id: &NodeId| self.cold(id);
-        for lines in draft.values_mut().filter(|lines| avoided && !lines.keys().all(cold)) {
-            lines.retain(|id, _| !cold(id));
+        for (id, lines) in draft.iter_mut().filter(|(_, lines)| run > 0.0 && !lines.keys().all(cold)) {
+            lines.retain(|node, _| !cold(node) || (!erring && heard(self.tables[id].zone)));
         }
         for lines in draft.values_mut().filter(|lines| !lines.is_empty() && lines.keys().all(cold)) {
             // With nothing else to go to, each gets its part and `admit` lets in no more than they take.
@@ -515,9 +517,8 @@
 
     // ---- targets ----
 
-    /// Into how many parts each zone's proxies fall, with tables of their own over as many parts of its
-    /// nodes. One, unless a table would hold so many nodes that a proxy hardly uses a line before its
-    /// connection closes, and that the channel could not carry the table. Fixed once proxies have joined.
+    /// Divides a zone's proxies into parts with tables of their own over as many parts of its nodes, where
+    /// one table's lines would hardly be used before connections close. Fixed once proxies have joined.
     fn divide(&mut self) {
         let zones: BTreeSet<ZoneId> = self.tables.values().map(|table| table.zone).collect();
         let homed = self.facts.flag_or("conductor.joined_by_zone", false);
@@ -725,8 +726,7 @@
     // ---- mechanism 4: overload admission ----
 
     /// Mean load of a zone's nodes, or all, by the tries they get, of 1; full when many tries err at nodes
-    /// that are busy or tell nothing. Errors elsewhere (answers lost on the way, connections refused,
-    /// nodes out of reach) are not the load's, and letting in less would not mend them.
+    /// that are busy or tell nothing. Errors elsewhere are not the load's: letting in less mends none.
     fn strain(&self, zone: Option<ZoneId>) -> f64 {
         let (mut sum, mut rates, mut met, mut overrun) = (0.0, 0.0, 0.0, 0.0);
         for ((id, _), path) in self.paths.iter().filter(|(key, _)| self.open(key.0)) {
