--- a/crates/wheelspread/src/balance.rs
+++ b/crates/wheelspread/src/balance.rs
@@ -139,7 +139,7 @@
         NEEDED.split_whitespace().try_for_each(|name| facts.number(name).map(drop))?;
         let count = facts.number("operation.count")?.clamp(0.0, 16.0) as u8;
         let operations = (0..count).map(|at| Operation::read(&facts, at)).collect::<Result<Vec<_>, _>>()?;
-        let tables = Table::all(&operations, facts.number("zone.count")?.clamp(0.0, 1e4) as u16);
+        let tables = Table::all(&operations, facts.number("zone.count")?.clamp(0.0, 250.0) as u16);
         Ok(Balancer::new(now, seed, facts, operations, tables))
     }
 
@@ -521,8 +521,8 @@
     /// one table's lines would hardly be used before connections close. Fixed once proxies have joined.
     fn divide(&mut self) {
         let zones: BTreeSet<ZoneId> = self.tables.values().map(|table| table.zone).collect();
-        let homed = self.facts.flag_or("conductor.joined_by_zone", false);
-        let split = zones.len() as f64 * if homed { 1.0 } else { self.fact("conductor.count").max(1.0) };
+        let (count, homed) = (zones.len() as f64, self.facts.flag_or("conductor.joined_by_zone", false));
+        let split = count * if homed { 1.0 } else { self.fact("conductor.count").max(1.0) };
         for zone in &zones {
             let here = |proxy: &Proxy| proxy.joined && proxy.zone == *zone;
             let known = self.proxies.values().filter(|proxy| here(proxy)).count() as f64;
@@ -532,7 +532,7 @@
             let own: Vec<TableId> = new.map(|(id, _)| *id).collect();
             let uses = self.demand_by(here) / known.max(1.0) * self.fact("proxy.connection_idle");
             let most = self.fact("proxy.count") / split * PARTS.2 / own.len().max(1) as f64;
-            let parts = (nodes / (uses / PARTS.0).max(PARTS.1)).min(most).clamp(1.0, 999.0) as u16;
+            let parts = (nodes / (uses / PARTS.0).max(PARTS.1)).min(most).clamp(1.0, 3e4 / count) as u16;
             for (id, part) in own.iter().flat_map(|id| (0..parts).map(move |part| (*id, part))) {
                 let mut table = Table { part, parts, ..self.tables[&id].clone() };
                 if part > 0 {
--- a/crates/wheelspread/src/scenarios.rs
+++ b/crates/wheelspread/src/scenarios.rs
@@ -385,6 +385,7 @@
 #[test_case(include_str!("../scenarios/cold_under_cap.txt"); "cold limits leave steps their messages")]
 #[test_case(include_str!("../scenarios/lost_on_the_way.txt"); "what is lost on the way is no overload")]
 #[test_case(include_str!("../scenarios/cold_unheard.txt"); "no cold lines in a zone that is not heard of")]
+#[test_case(include_str!("../scenarios/many_zones.txt"); "more parts than table numbers")]
 #[test_case(include_str!("../scenarios/starved_steps.txt"); "levels leave steps their messages")]
 #[test_case(include_str!("../scenarios/storm.txt"); "a storm of joins stays within the channel")]
 #[test_case(include_str!("../scenarios/restart.txt"); "a restart with a stale list")]
