--- /dev/null
+++ b/crates/session/src/book.rs
@@ -0,0 +1,313 @@
+//! What is published: the module's shared tables, who is bound to which, and the versions that come of
+//! it. Proxies with the same tables share a `Bundle`, so a change is written once however many proxies
+//! use it. A proxy is then pointed at a version, which holds all its tables at once: there is no moment
+//! at which it could read one table old and another new.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use wheelspread::ids::{NodeId, OperationId, ProxyId, TableId};
+use wheelspread::interface::Retry;
+
+/// Rises with everything that is published by one conductor, over restarts too.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Version(pub u64);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct BundleId(pub u32);
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Line {
+    pub node: NodeId,
+    pub zone: String,
+    pub weight: f64,
+}
+
+/// What a proxy does for one operation.
+#[derive(Clone, Debug, PartialEq)]
+pub struct OperationTable {
+    pub operation: OperationId,
+    pub table: TableId,
+    pub lines: Vec<Line>,
+    /// A share of 1, or invocations a second at each proxy, as the deployment's form says.
+    pub quota: Option<f64>,
+    pub retry: Retry,
+}
+
+/// Everything that a proxy holds, at one version.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TableSet {
+    pub bundle: BundleId,
+    pub version: Version,
+    pub operations: Vec<OperationTable>,
+}
+
+/// Which table serves each operation of a proxy.
+pub type Bundle = BTreeMap<OperationId, TableId>;
+
+#[derive(Clone, Debug, Default)]
+struct Table {
+    lines: BTreeMap<NodeId, f64>,
+    levels: BTreeMap<OperationId, (f64, Retry)>,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Book {
+    tables: BTreeMap<TableId, Table>,
+    for_all: BTreeMap<OperationId, (f64, Retry)>,
+    withdrawn: BTreeSet<NodeId>,
+    bound: BTreeMap<ProxyId, Bundle>,
+    numbers: BTreeMap<Bundle, BundleId>,
+    newest: BTreeMap<BundleId, Arc<TableSet>>,
+    /// Tables that changed since versions were last made.
+    changed: BTreeSet<TableId>,
+    everything: bool,
+    last: Version,
+    operations: usize,
+}
+
+/// How many lines apart two sets are, by what a proxy has to take in: each table's lines count once.
+pub fn lines_apart(from: Option<&TableSet>, to: &TableSet) -> usize {
+    let mut counted = BTreeSet::new();
+    let mut apart = 0;
+    for new in &to.operations {
+        let old = from.and_then(|set| set.operations.iter().find(|old| old.operation == new.operation));
+        apart += usize::from(old.is_none_or(|old| (old.quota, old.retry) != (new.quota, new.retry)));
+        if !counted.insert(new.table) {
+            continue;
+        }
+        let before: BTreeMap<NodeId, f64> =
+            old.iter().flat_map(|old| &old.lines).map(|line| (line.node, line.weight)).collect();
+        let after: BTreeMap<NodeId, f64> = new.lines.iter().map(|line| (line.node, line.weight)).collect();
+        apart += after.iter().filter(|(node, weight)| before.get(node) != Some(weight)).count();
+        apart += before.keys().filter(|node| !after.contains_key(node)).count();
+    }
+    apart
+}
+
+/// Whether `to` takes a node away that `from` names.
+pub fn removes_lines(from: &TableSet, to: &TableSet) -> bool {
+    from.operations.iter().any(|old| {
+        let new = to.operations.iter().find(|new| new.operation == old.operation);
+        let still = |node| new.is_some_and(|new| new.lines.iter().any(|line| line.node == node));
+        old.lines.iter().any(|line| !still(line.node))
+    })
+}
+
+impl Book {
+    /// `last`: the highest version that is known to have been published before.
+    pub fn new(operations: usize, last: Version) -> Book {
+        Book { operations, last, ..Book::default() }
+    }
+
+    pub fn set_line(&mut self, table: TableId, node: NodeId, weight: f64) {
+        let lines = &mut self.tables.entry(table).or_default().lines;
+        if weight > 0.0 && weight.is_finite() {
+            lines.insert(node, weight);
+        } else {
+            lines.remove(&node);
+        }
+        self.changed.insert(table);
+    }
+
+    pub fn clear(&mut self, table: TableId) {
+        self.tables.insert(table, Table::default());
+        self.changed.insert(table);
+    }
+
+    pub fn set_level(
+        &mut self,
+        table: Option<TableId>,
+        operations: &[OperationId],
+        quota: f64,
+        retry: Retry,
+    ) {
+        let all: Vec<OperationId> = (0..self.operations as u8).map(OperationId).collect();
+        let operations = if operations.is_empty() { &all } else { operations };
+        let levels = match table {
+            Some(table) => {
+                self.changed.insert(table);
+                &mut self.tables.entry(table).or_default().levels
+            }
+            None => {
+                self.everything = true;
+                &mut self.for_all
+            }
+        };
+        levels.extend(operations.iter().map(|operation| (*operation, (quota, retry))));
+    }
+
+    pub fn withdraw(&mut self, node: NodeId, out: bool) {
+        if out {
+            self.withdrawn.insert(node)
+        } else {
+            self.withdrawn.remove(&node)
+        };
+        self.everything = true;
+    }
+
+    /// Binds a proxy's operations to a table; its other operations keep theirs.
+    pub fn bind(&mut self, proxy: ProxyId, table: TableId, operations: &[OperationId]) {
+        let all: Vec<OperationId> = (0..self.operations as u8).map(OperationId).collect();
+        let operations = if operations.is_empty() { &all } else { operations };
+        let bundle = self.bound.entry(proxy).or_default();
+        bundle.extend(operations.iter().map(|operation| (*operation, table)));
+        let next = BundleId(self.numbers.len() as u32);
+        self.numbers.entry(bundle.clone()).or_insert(next);
+    }
+
+    /// A proxy that comes from somewhere else, or anew, holds nothing of this book.
+    pub fn unbind(&mut self, proxy: ProxyId) {
+        self.bound.remove(&proxy);
+    }
+
+    pub fn bundle_of(&self, proxy: ProxyId) -> Option<BundleId> {
+        self.numbers.get(self.bound.get(&proxy)?).copied()
+    }
+
+    pub fn bound(&self) -> impl Iterator<Item = ProxyId> + '_ {
+        self.bound.keys().copied()
+    }
+
+    pub fn newest(&self, bundle: BundleId) -> Option<&Arc<TableSet>> {
+        self.newest.get(&bundle)
+    }
+
+    pub fn last(&self) -> Version {
+        self.last
+    }
+
+    /// A version of its own for what is published beside the bundles.
+    pub fn number(&mut self) -> Version {
+        self.last = Version(self.last.0 + 1);
+        self.last
+    }
+
+    /// The newest versions of the bundles that some proxy is bound to.
+    pub fn in_force(&self) -> impl Iterator<Item = &Arc<TableSet>> {
+        let in_use: BTreeSet<BundleId> = self.bound.values().map(|bundle| self.numbers[bundle]).collect();
+        in_use.into_iter().filter_map(|bundle| self.newest.get(&bundle))
+    }
+
+    /// Makes new versions of the bundles whose tables changed. `zone` tells where a node stands.
+    pub fn publish(&mut self, zone: impl Fn(NodeId) -> String) -> Vec<BundleId> {
+        let changed = std::mem::take(&mut self.changed);
+        let everything = std::mem::take(&mut self.everything);
+        let in_use: BTreeSet<&Bundle> = self.bound.values().collect();
+        let mut published = Vec::new();
+        for bundle in in_use {
+            let id = self.numbers[bundle];
+            let touched = everything || bundle.values().any(|table| changed.contains(table));
+            if !touched && self.newest.contains_key(&id) {
+                continue;
+            }
+            let operations: Vec<OperationTable> = bundle
+                .iter()
+                .map(|(operation, table)| self.operation_table(*operation, *table, &zone))
+                .collect();
+            if self.newest.get(&id).is_some_and(|newest| newest.operations == operations) {
+                continue;
+            }
+            self.last = Version(self.last.0 + 1);
+            let set = TableSet { bundle: id, version: self.last, operations };
+            self.newest.insert(id, Arc::new(set));
+            published.push(id);
+        }
+        published
+    }
+
+    fn operation_table(
+        &self,
+        operation: OperationId,
+        table: TableId,
+        zone: &impl Fn(NodeId) -> String,
+    ) -> OperationTable {
+        let known = self.tables.get(&table);
+        let lines = known.iter().flat_map(|table| &table.lines);
+        let lines = lines.filter(|(node, _)| !self.withdrawn.contains(node));
+        let own = known.and_then(|table| table.levels.get(&operation));
+        let all = self.for_all.get(&operation);
+        // Where both are set the lower level prevails, and the table's own way to try again.
+        let quota = own.into_iter().chain(all).map(|level| level.0).reduce(f64::min);
+        let retry = own.or(all).map_or(Retry::AfterProofItNeverRan, |level| level.1);
+        let lines = lines.map(|(node, weight)| Line { node: *node, zone: zone(*node), weight: *weight });
+        OperationTable { operation, table, lines: lines.collect(), quota, retry }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const QUOTE: OperationId = OperationId(0);
+    const BOOK: OperationId = OperationId(1);
+
+    fn node(port: u16) -> NodeId {
+        NodeId { address: [127, 0, 0, 1], port }
+    }
+
+    fn book() -> Book {
+        let mut book = Book::new(2, Version(40));
+        for port in 1..=4 {
+            book.set_line(TableId(0), node(port), 25.0);
+        }
+        for proxy in [ProxyId(0), ProxyId(1)] {
+            book.bind(proxy, TableId(0), &[]);
+        }
+        book
+    }
+
+    #[test]
+    fn proxies_with_the_same_tables_share_one_version() {
+        let mut book = book();
+        assert_eq!(book.publish(|_| String::new()).len(), 1);
+        assert_eq!(book.bundle_of(ProxyId(0)), book.bundle_of(ProxyId(1)));
+        assert_eq!(book.last(), Version(41), "it goes on after what was published before");
+        book.set_line(TableId(0), node(1), 25.0);
+        assert_eq!(book.publish(|_| String::new()), [], "the same content is no new version");
+    }
+
+    #[test]
+    fn a_change_of_two_tables_is_one_version_of_both() {
+        let mut book = book();
+        book.bind(ProxyId(0), TableId(1), &[BOOK]);
+        book.set_line(TableId(1), node(9), 1.0);
+        book.publish(|_| String::new());
+        book.set_line(TableId(0), node(1), 0.0);
+        book.set_line(TableId(1), node(8), 1.0);
+        let published = book.publish(|_| String::new());
+        assert_eq!(published.len(), 2, "the bundle with both tables and the one with the first only");
+        let both = book.bundle_of(ProxyId(0)).and_then(|id| book.newest(id)).expect("bound");
+        let lines = |operation: OperationId| both.operations[usize::from(operation.0)].lines.len();
+        assert_eq!((lines(QUOTE), lines(BOOK)), (3, 2));
+    }
+
+    #[test]
+    fn lines_apart_counts_what_a_proxy_takes_in() {
+        let mut book = book();
+        book.publish(|_| String::new());
+        let bundle = book.bundle_of(ProxyId(0)).expect("bound");
+        let first = book.newest(bundle).expect("published").clone();
+        // Two operations share the table: its four lines count once, and a level for each.
+        assert_eq!(lines_apart(None, &first), 6);
+        book.set_line(TableId(0), node(1), 0.0);
+        book.set_line(TableId(0), node(2), 30.0);
+        book.set_level(Some(TableId(0)), &[BOOK], 0.5, Retry::Never);
+        book.publish(|_| String::new());
+        let second = book.newest(bundle).expect("published").clone();
+        assert_eq!(lines_apart(Some(&first), &second), 3);
+        assert!(removes_lines(&first, &second) && !removes_lines(&second, &second));
+    }
+
+    #[test]
+    fn the_lower_level_prevails_and_withdrawn_nodes_are_left_out() {
+        let mut book = book();
+        book.set_level(None, &[], 0.5, Retry::OnceAfterAnyFailure);
+        book.set_level(Some(TableId(0)), &[QUOTE], 0.8, Retry::Never);
+        book.withdraw(node(3), true);
+        book.publish(|_| String::new());
+        let set = book.newest(book.bundle_of(ProxyId(0)).expect("bound")).expect("published");
+        let (quote, booking) = (&set.operations[0], &set.operations[1]);
+        assert_eq!((quote.quota, quote.retry, quote.lines.len()), (Some(0.5), Retry::Never, 3));
+        assert_eq!((booking.quota, booking.retry), (Some(0.5), Retry::OnceAfterAnyFailure));
+    }
+}
--- /dev/null
+++ b/crates/session/src/lib.rs
@@ -0,0 +1,18 @@
+//! A conductor without its sockets: `Session` is told what was observed (a list swapped in, a stream of
+//! sums opened, a file written) and says what to do (write a version, point a proxy at it, close a
+//! stream). The module in `wheelspread` decides; the session feeds it and carries out what it orders.
+//! Nothing here reads a clock, a file or a socket, so a test plays whole days in a loop.
+
+pub mod book;
+pub mod channel;
+pub mod deployment;
+pub mod marks;
+pub mod membership;
+pub mod nodes;
+pub mod session;
+pub mod spans;
+pub mod sums;
+
+pub use book::{Bundle, Line, TableSet, Version};
+pub use deployment::Deployment;
+pub use session::{Effect, Notice, Observation, Session, StartError};
--- /dev/null
+++ b/crates/session/src/marks.rs
@@ -0,0 +1,150 @@
+//! Answers to the module's marks. A file has no acknowledgement: a proxy that publishes its status says
+//! which version it holds; one that never does is taken to hold what it was pointed at after the wait
+//! that the design gives an answer. What a status refuses is no answer.
+
+use crate::book::Version;
+use std::collections::{BTreeMap, VecDeque};
+use wheelspread::ids::{MarkId, ProxyId};
+use wheelspread::interface::Event;
+use wheelspread::time::{Moment, Span};
+
+/// The design's wait for answers, in seconds.
+const ASSUMED: f64 = 1.0;
+/// Marks that wait for one proxy; the module lets go of older ones by itself.
+const MOST: usize = 64;
+
+#[derive(Clone, Debug)]
+struct Asked {
+    mark: MarkId,
+    version: Version,
+    at: Moment,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Answers {
+    asked: VecDeque<Asked>,
+    pointed: Option<(Version, Moment)>,
+    /// The newest version that its status said it holds; `None` while it published none.
+    told: Option<Version>,
+    refused: Option<Version>,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Marks {
+    proxies: BTreeMap<ProxyId, Answers>,
+}
+
+impl Marks {
+    /// The module wants to know when the proxy holds `version`.
+    pub fn ask(&mut self, now: Moment, proxy: ProxyId, mark: MarkId, version: Version) {
+        let answers = self.proxies.entry(proxy).or_default();
+        if answers.asked.len() >= MOST {
+            answers.asked.pop_front();
+        }
+        answers.asked.push_back(Asked { mark, version, at: now });
+    }
+
+    pub fn pointed(&mut self, now: Moment, proxy: ProxyId, version: Version) {
+        self.proxies.entry(proxy).or_default().pointed = Some((version, now));
+    }
+
+    pub fn told(&mut self, proxy: ProxyId, version: Version) {
+        let answers = self.proxies.entry(proxy).or_default();
+        answers.told = answers.told.max(Some(version));
+    }
+
+    pub fn refused(&mut self, proxy: ProxyId, version: Version) {
+        self.proxies.entry(proxy).or_default().refused = Some(version);
+    }
+
+    /// Its stream broke: what it was asked stays unanswered, and a status must be told anew.
+    pub fn forget(&mut self, proxy: ProxyId) {
+        self.proxies.remove(&proxy);
+    }
+
+    pub fn holds(&self, proxy: ProxyId) -> Option<Version> {
+        self.proxies.get(&proxy)?.told
+    }
+
+    /// Marks answered by now, in the order asked.
+    pub fn answered(&mut self, now: Moment) -> Vec<Event> {
+        let mut events = Vec::new();
+        for (proxy, answers) in &mut self.proxies {
+            let assumed = |(version, at): (Version, Moment)| {
+                let passed = now - at >= Span::from_seconds(ASSUMED) && answers.refused < Some(version);
+                (answers.told.is_none() && passed).then_some(version)
+            };
+            let holds = answers.told.max(answers.pointed.and_then(assumed));
+            while let Some(asked) = answers.asked.front().filter(|asked| Some(asked.version) <= holds) {
+                events.push(Event::Acked { proxy: *proxy, mark: asked.mark, took: now - asked.at });
+                answers.asked.pop_front();
+            }
+        }
+        events
+    }
+
+    /// When an answer may next be assumed.
+    pub fn wake_at(&self) -> Option<Moment> {
+        let due = |answers: &Answers| {
+            let waits = answers.told.is_none() && !answers.asked.is_empty();
+            answers.pointed.filter(|_| waits).map(|(_, at)| at + Span::from_seconds(ASSUMED))
+        };
+        self.proxies.values().filter_map(due).min()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn at(seconds: f64) -> Moment {
+        Moment::from_seconds(seconds)
+    }
+
+    fn marks(events: Vec<Event>) -> Vec<u32> {
+        let mark = |event: &Event| match event {
+            Event::Acked { mark, .. } => mark.0,
+            other => panic!("{other:?}"),
+        };
+        events.iter().map(mark).collect()
+    }
+
+    #[test]
+    fn a_proxy_without_status_is_taken_to_hold_it_after_a_second() {
+        let mut asked = Marks::default();
+        asked.ask(at(0.0), ProxyId(1), MarkId(1), Version(5));
+        assert_eq!(marks(asked.answered(at(9.0))), [] as [u32; 0], "it was not even pointed at it");
+        asked.pointed(at(9.0), ProxyId(1), Version(5));
+        assert_eq!(marks(asked.answered(at(9.9))), [] as [u32; 0]);
+        assert_eq!(asked.wake_at(), Some(at(10.0)));
+        assert_eq!(marks(asked.answered(at(10.0))), [1]);
+    }
+
+    #[test]
+    fn a_proxy_with_status_answers_when_it_says_so_and_a_newer_version_answers_older_marks() {
+        let mut asked = Marks::default();
+        asked.told(ProxyId(1), Version(4));
+        asked.ask(at(0.0), ProxyId(1), MarkId(1), Version(5));
+        asked.ask(at(0.1), ProxyId(1), MarkId(2), Version(6));
+        asked.ask(at(0.2), ProxyId(1), MarkId(3), Version(8));
+        asked.pointed(at(0.2), ProxyId(1), Version(7));
+        assert_eq!(
+            marks(asked.answered(at(60.0))),
+            [] as [u32; 0],
+            "it told of itself before: it is not guessed"
+        );
+        asked.told(ProxyId(1), Version(7));
+        assert_eq!(marks(asked.answered(at(60.0))), [1, 2]);
+    }
+
+    #[test]
+    fn a_refused_version_is_not_assumed() {
+        let mut asked = Marks::default();
+        asked.ask(at(0.0), ProxyId(1), MarkId(1), Version(5));
+        asked.pointed(at(0.0), ProxyId(1), Version(5));
+        asked.refused(ProxyId(1), Version(5));
+        assert_eq!(marks(asked.answered(at(5.0))), [] as [u32; 0]);
+        asked.pointed(at(6.0), ProxyId(1), Version(6));
+        assert_eq!(marks(asked.answered(at(7.0))), [1], "a later one that it did not refuse holds it too");
+    }
+}
--- /dev/null
+++ b/crates/session/src/nodes.rs
@@ -0,0 +1,385 @@
+//! The list of nodes as this conductor holds it. Lists come from a file that others swap in: late,
+//! partial, torn or empty. A list that can't be right is kept out with a named reason and the last good
+//! one stands; what it then says is told to the module as events.
+
+use crate::deployment::Deployment;
+use std::collections::{BTreeMap, BTreeSet};
+use wheelspread::ids::{CellId, KindId, NodeId, ZoneId};
+use wheelspread::interface::{Event, ListEntry, ListKind, Listing};
+use wheelspread::time::{Moment, Span};
+
+/// One node as a list names it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct NodeRecord {
+    pub node: NodeId,
+    pub zone: String,
+    pub kind: String,
+    pub cell: String,
+    pub draining: bool,
+    pub weight: f64,
+    /// What tells one run of the process from the next, and how long ago it started, where known.
+    pub started: Option<(String, Span)>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct NodeList {
+    /// `version_info` of the document.
+    pub version: String,
+    pub records: Vec<NodeRecord>,
+}
+
+/// Why a list was not taken.
+#[derive(Clone, Debug, PartialEq, thiserror::Error)]
+pub enum Refusal {
+    #[error("the list can't be read: {0}")]
+    Unreadable(String),
+    #[error("version {version} is not newer than version {held}, which is held")]
+    Late { version: String, held: String },
+    #[error("the list names no node while {held} are held")]
+    Empty { held: usize },
+    #[error("{missing} of {ready} ready nodes are missing at once; one more list that says so is awaited")]
+    Shrunk { missing: usize, ready: usize },
+    #[error("{0} is named twice")]
+    Twice(String),
+    #[error("{node} stands in zone `{zone}`, which the settings don't name")]
+    UnknownZone { node: String, zone: String },
+    #[error("{node} is of kind `{kind}`, which the settings don't name")]
+    UnknownKind { node: String, kind: String },
+    #[error("{count} nodes: {most} at most are possible")]
+    TooMany { count: usize, most: usize },
+}
+
+/// How the guard takes what comes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Trust {
+    /// Nothing was ever taken: anything readable is better than nothing.
+    Blank,
+    Held,
+    /// A list lacked too many nodes; the next one decides.
+    Doubting,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Came {
+    Sound,
+    Shrunk,
+    ShrunkAlike,
+    Empty,
+    Late,
+    Broken,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Taken {
+    Take,
+    KeepOut,
+}
+
+// A late or broken list says nothing of whether the doubted one was right.
+const TRUST: &[(Trust, Came, Trust, Taken)] = &[
+    (Trust::Blank, Came::Sound, Trust::Held, Taken::Take),
+    (Trust::Blank, Came::Empty, Trust::Blank, Taken::KeepOut),
+    (Trust::Held, Came::Sound, Trust::Held, Taken::Take),
+    (Trust::Held, Came::Shrunk, Trust::Doubting, Taken::KeepOut),
+    (Trust::Doubting, Came::Sound, Trust::Held, Taken::Take),
+    (Trust::Doubting, Came::Shrunk, Trust::Doubting, Taken::KeepOut),
+    (Trust::Doubting, Came::ShrunkAlike, Trust::Held, Taken::Take),
+];
+
+const MOST_NODES: usize = 20_000;
+
+#[derive(Clone, Debug)]
+struct Held {
+    record: NodeRecord,
+    entry: ListEntry,
+}
+
+#[derive(Clone, Debug)]
+pub struct Nodes {
+    trust: Trust,
+    version: String,
+    held: BTreeMap<NodeId, Held>,
+    /// Nodes that the doubted list lacked.
+    doubted: BTreeSet<NodeId>,
+    cells: BTreeMap<String, CellId>,
+    gone: BTreeMap<NodeId, Moment>,
+}
+
+impl Default for Nodes {
+    fn default() -> Self {
+        Nodes {
+            trust: Trust::Blank,
+            version: String::new(),
+            held: BTreeMap::new(),
+            doubted: BTreeSet::new(),
+            cells: BTreeMap::new(),
+            gone: BTreeMap::new(),
+        }
+    }
+}
+
+pub fn show(node: NodeId) -> String {
+    let [a, b, c, d] = node.address;
+    format!("{a}.{b}.{c}.{d}:{}", node.port)
+}
+
+impl Nodes {
+    pub fn version(&self) -> &str {
+        &self.version
+    }
+
+    pub fn listed(&self) -> impl Iterator<Item = (&NodeRecord, &ListEntry)> {
+        self.held.values().map(|held| (&held.record, &held.entry))
+    }
+
+    pub fn record(&self, node: NodeId) -> Option<&NodeRecord> {
+        self.held.get(&node).map(|held| &held.record)
+    }
+
+    /// Takes a list, or says why not. `first` marks the list that stands when a conductor starts.
+    pub fn take(
+        &mut self,
+        now: Moment,
+        list: Result<NodeList, String>,
+        plan: &Deployment,
+        first: bool,
+    ) -> Result<Event, Refusal> {
+        let (came, refusal) = match &list {
+            Err(text) => (Came::Broken, Some(Refusal::Unreadable(text.clone()))),
+            Ok(list) => self.judge(list, plan),
+        };
+        let row = TRUST.iter().find(|row| (row.0, row.1) == (self.trust, came));
+        let (next, taken) = row.map_or((self.trust, Taken::KeepOut), |row| (row.2, row.3));
+        self.trust = next;
+        match (list, taken) {
+            (Ok(list), Taken::Take) => {
+                self.doubted.clear();
+                Ok(self.adopt(now, list, plan, first))
+            }
+            (Ok(list), Taken::KeepOut) => {
+                if came == Came::Shrunk {
+                    self.doubted = self.missing(&list);
+                }
+                Err(refusal.unwrap_or(Refusal::Empty { held: self.held.len() }))
+            }
+            (Err(text), _) => Err(Refusal::Unreadable(text)),
+        }
+    }
+
+    fn ready(&self) -> impl Iterator<Item = NodeId> + '_ {
+        self.held.iter().filter(|(_, held)| !held.record.draining).map(|(node, _)| *node)
+    }
+
+    fn missing(&self, list: &NodeList) -> BTreeSet<NodeId> {
+        let named: BTreeSet<NodeId> = list.records.iter().map(|record| record.node).collect();
+        self.ready().filter(|node| !named.contains(node)).collect()
+    }
+
+    fn judge(&self, list: &NodeList, plan: &Deployment) -> (Came, Option<Refusal>) {
+        let mut seen = BTreeSet::new();
+        let broken = |refusal| (Came::Broken, Some(refusal));
+        if list.records.len() > MOST_NODES {
+            return broken(Refusal::TooMany { count: list.records.len(), most: MOST_NODES });
+        }
+        for record in &list.records {
+            let node = show(record.node);
+            if !seen.insert(record.node) {
+                return broken(Refusal::Twice(node));
+            }
+            if !plan.zones.contains(&record.zone) {
+                return broken(Refusal::UnknownZone { node, zone: record.zone.clone() });
+            }
+            if !record.kind.is_empty() && !plan.kinds.contains(&record.kind) {
+                return broken(Refusal::UnknownKind { node, kind: record.kind.clone() });
+            }
+        }
+        if self.trust != Trust::Blank && !newer(&list.version, &self.version) {
+            let (version, held) = (list.version.clone(), self.version.clone());
+            return (Came::Late, Some(Refusal::Late { version, held }));
+        }
+        if list.records.is_empty() {
+            return (Came::Empty, Some(Refusal::Empty { held: self.held.len() }));
+        }
+        let (missing, ready) = (self.missing(list), self.ready().count());
+        if missing.len() as f64 > ready as f64 * plan.list.shrinks_at_most && missing.len() > 1 {
+            let alike = !self.doubted.is_empty() && missing.is_superset(&self.doubted);
+            let came = if alike { Came::ShrunkAlike } else { Came::Shrunk };
+            return (came, Some(Refusal::Shrunk { missing: missing.len(), ready }));
+        }
+        (Came::Sound, None)
+    }
+
+    /// Only what changed is told, but for the first list, which the module takes as a whole.
+    fn adopt(&mut self, now: Moment, list: NodeList, plan: &Deployment, first: bool) -> Event {
+        let whole = first || self.held.is_empty();
+        let mut entries = Vec::new();
+        let mut next = BTreeMap::new();
+        for record in list.records {
+            let before = self.held.remove(&record.node);
+            let entry = self.entry(now, &record, before.as_ref(), plan, whole);
+            let same = before.is_some_and(|before| before.entry_equals(&entry));
+            if whole || !same {
+                entries.push(entry.clone());
+            }
+            self.gone.remove(&record.node);
+            next.insert(record.node, Held { record, entry });
+        }
+        for (node, held) in std::mem::take(&mut self.held) {
+            self.gone.insert(node, now);
+            entries.push(ListEntry { listing: Listing::Gone, ..held.entry });
+        }
+        let long = plan.rules.warm_after * 10.0;
+        self.gone.retain(|_, since| now - *since < long);
+        (self.held, self.version) = (next, list.version);
+        Event::List { kind: if whole { ListKind::Complete } else { ListKind::Changes }, entries }
+    }
+
+    fn entry(
+        &mut self,
+        now: Moment,
+        record: &NodeRecord,
+        before: Option<&Held>,
+        plan: &Deployment,
+        whole: bool,
+    ) -> ListEntry {
+        let cells = self.cells.len() as u16;
+        // The start of a process is fixed when it is first heard of: a clock that jumps moves none.
+        let started = match (&record.started, before) {
+            (Some((run, _)), Some(held)) if held.record.started.as_ref().is_some_and(|(r, _)| r == run) => {
+                held.entry.started
+            }
+            (Some((_, age)), _) => Some(now - *age),
+            (None, Some(held)) if !self.returns(record.node) => held.entry.started,
+            // Listed after the start of this conductor and silent of its age: it may be cold.
+            (None, _) if !whole => Some(now),
+            (None, _) => None,
+        };
+        ListEntry {
+            node: record.node,
+            zone: ZoneId(position(&plan.zones, &record.zone) as u16),
+            kind: KindId(position(&plan.kinds, &record.kind) as u8),
+            cell: *self.cells.entry(record.cell.clone()).or_insert(CellId(cells)),
+            listing: if record.draining { Listing::Draining } else { Listing::Ready },
+            weight: record.weight,
+            started,
+        }
+    }
+
+    fn returns(&self, node: NodeId) -> bool {
+        self.gone.contains_key(&node)
+    }
+
+    /// The whole list as it is held, for a module that asks.
+    pub fn complete(&self) -> Event {
+        let entries = self.held.values().map(|held| held.entry.clone()).collect();
+        Event::List { kind: ListKind::Complete, entries }
+    }
+}
+
+impl Held {
+    fn entry_equals(&self, other: &ListEntry) -> bool {
+        let (a, b) = (&self.entry, other);
+        (a.zone, a.kind, a.cell, a.listing, a.started) == (b.zone, b.kind, b.cell, b.listing, b.started)
+            && a.weight == b.weight
+    }
+}
+
+fn position(names: &[String], name: &str) -> usize {
+    names.iter().position(|known| known == name).unwrap_or(0)
+}
+
+/// Versions that both are numbers rise; others only have to differ.
+fn newer(version: &str, held: &str) -> bool {
+    match (version.parse::<u64>(), held.parse::<u64>()) {
+        (Ok(version), Ok(held)) => version > held,
+        _ => version != held,
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::deployment::tests::plan;
+    use test_case::test_case;
+
+    fn record(port: u16) -> NodeRecord {
+        NodeRecord {
+            node: NodeId { address: [127, 0, 0, 1], port },
+            zone: "north".to_string(),
+            kind: String::new(),
+            cell: String::new(),
+            draining: false,
+            weight: 1.0,
+            started: None,
+        }
+    }
+
+    fn list(version: &str, ports: std::ops::Range<u16>) -> Result<NodeList, String> {
+        Ok(NodeList { version: version.to_string(), records: ports.map(record).collect() })
+    }
+
+    fn at(seconds: f64) -> Moment {
+        Moment::from_seconds(seconds)
+    }
+
+    fn held(version: &str, ports: std::ops::Range<u16>) -> Nodes {
+        let mut nodes = Nodes::default();
+        nodes.take(at(1.0), list(version, ports), &plan(), true).expect("the first list is sound");
+        nodes
+    }
+
+    #[test_case(Err("not JSON".to_string()), "can't be read"; "torn")]
+    #[test_case(list("4", 0..10), "not newer than version 5"; "an older version, naming a node already gone")]
+    #[test_case(list("5", 0..4), "not newer"; "the same version with other content")]
+    #[test_case(list("6", 0..0), "names no node while 8"; "empty")]
+    #[test_case(list("6", 0..3), "5 of 8 ready nodes are missing"; "more than half missing")]
+    #[test_case(Ok(NodeList { version: "6".into(), records: vec![record(1), record(1)] }), "twice"; "a node twice")]
+    #[test_case(Ok(NodeList { version: "6".into(), records: vec![NodeRecord { zone: "moon".into(), ..record(1) }] }),
+        "zone `moon`"; "an unknown zone")]
+    fn a_list_that_cannot_be_right_is_kept_out(came: Result<NodeList, String>, reason: &str) {
+        let mut nodes = held("5", 0..8);
+        let refusal = nodes.take(at(2.0), came, &plan(), false).expect_err("it is refused");
+        assert!(refusal.to_string().contains(reason), "{refusal}");
+        assert_eq!((nodes.listed().count(), nodes.version()), (8, "5"), "the last good list stands");
+    }
+
+    #[test]
+    fn a_second_list_that_lacks_the_same_nodes_is_believed() {
+        let mut nodes = held("5", 0..8);
+        assert!(nodes.take(at(2.0), list("6", 0..3), &plan(), false).is_err());
+        // A broken one in between neither confirms nor clears the doubt.
+        assert!(nodes.take(at(2.1), Err("half".into()), &plan(), false).is_err());
+        let Ok(Event::List { entries, .. }) = nodes.take(at(3.0), list("7", 0..3), &plan(), false) else {
+            panic!("the second is taken")
+        };
+        assert_eq!(entries.iter().filter(|entry| entry.listing == Listing::Gone).count(), 5);
+        // A whole list in between clears it.
+        let mut nodes = held("5", 0..8);
+        assert!(nodes.take(at(2.0), list("6", 0..3), &plan(), false).is_err());
+        assert!(nodes.take(at(3.0), list("7", 0..8), &plan(), false).is_ok());
+        assert!(nodes.take(at(4.0), list("8", 0..3), &plan(), false).is_err());
+    }
+
+    #[test]
+    fn a_clock_that_jumps_restarts_no_node() {
+        let run =
+            |age: f64| NodeRecord { started: Some(("r1".into(), Span::from_seconds(age))), ..record(1) };
+        let told = |version: &str, age| Ok(NodeList { version: version.into(), records: vec![run(age)] });
+        let mut nodes = Nodes::default();
+        nodes.take(at(100.0), told("1", 60.0), &plan(), true).expect("sound");
+        let Ok(Event::List { entries, .. }) = nodes.take(at(101.0), told("2", 0.0), &plan(), false) else {
+            panic!("sound")
+        };
+        assert!(entries.is_empty(), "the same run tells nothing new: {entries:?}");
+    }
+
+    #[test]
+    fn a_node_that_returns_without_an_age_may_be_cold() {
+        let mut nodes = held("1", 0..8);
+        nodes.take(at(2.0), list("2", 0..7), &plan(), false).expect("sound");
+        let Ok(Event::List { entries, .. }) = nodes.take(at(9.0), list("3", 0..8), &plan(), false) else {
+            panic!("sound")
+        };
+        assert_eq!(entries.iter().map(|entry| entry.started).collect::<Vec<_>>(), [Some(at(9.0))]);
+    }
+}
--- /dev/null
+++ b/crates/session/src/session.rs
@@ -0,0 +1,632 @@
+//! The conductor's core. `observe` takes in what happened, `settle` lets the module decide and writes
+//! down what is to be done. One loop drives it: observe what came, settle, carry out the effects, sleep
+//! until `wake_at`. It holds no socket and reads no clock.
+
+use crate::book::{lines_apart, removes_lines, Book, BundleId, TableSet, Version};
+use crate::channel::{Channel, Urgency};
+use crate::deployment::{Deployment, Flaw};
+use crate::marks::Marks;
+use crate::membership::{Introduction, Membership, StreamId};
+use crate::nodes::{show, NodeList, Nodes};
+use crate::sums::{Report, Sums};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use wheelspread::balance::Balancer;
+use wheelspread::ids::{NodeId, ProxyId, TimerId};
+use wheelspread::interface::{Action, Event, Listing};
+use wheelspread::time::{Moment, Span};
+
+/// What a proxy's directory held when the conductor started.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Found {
+    /// By proxy, what it was pointed at.
+    pub held: BTreeMap<String, TableSet>,
+    /// Every version that lies there.
+    pub versions: BTreeSet<Version>,
+}
+
+#[derive(Clone, Debug)]
+pub enum Observation {
+    /// The list of nodes was swapped in, or could not be read.
+    List(Result<NodeList, String>),
+    StreamOpened {
+        stream: StreamId,
+        who: Introduction,
+    },
+    StreamClosed {
+        stream: StreamId,
+    },
+    Report {
+        stream: StreamId,
+        report: Report,
+    },
+    /// A proxy published that it holds a version, or why it refused one.
+    Status {
+        proxy: String,
+        version: Version,
+        refused: Option<String>,
+    },
+    /// A proxy was pointed at a version, or that failed.
+    Pointed {
+        proxy: String,
+        version: Version,
+        result: Result<(), String>,
+    },
+    /// The operators gave the channel another pace.
+    Pace {
+        lines_per_second: f64,
+    },
+}
+
+#[derive(Clone, Debug)]
+pub enum Effect {
+    /// The stream may report, as often as this.
+    Accept {
+        stream: StreamId,
+        period: Span,
+    },
+    Close {
+        stream: StreamId,
+        reason: String,
+    },
+    /// Write the version if it is not there yet, then point the proxy at it.
+    Point {
+        proxy: String,
+        set: Arc<TableSet>,
+    },
+    /// No proxy has been pointed at the version for a while: it can go.
+    Retire {
+        version: Version,
+    },
+    Log(Notice),
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Notice {
+    ListTaken {
+        version: String,
+        ready: usize,
+        changes: usize,
+    },
+    ListRefused {
+        reason: String,
+    },
+    Joined {
+        proxy: String,
+        zone: String,
+    },
+    Left {
+        proxy: String,
+    },
+    TurnedAway {
+        stream: StreamId,
+        reason: String,
+    },
+    Forgotten {
+        proxy: String,
+    },
+    Published {
+        bundle: BundleId,
+        version: Version,
+        proxies: usize,
+        lines: usize,
+    },
+    Pointed {
+        proxy: String,
+        version: Version,
+    },
+    WriteFailed {
+        proxy: String,
+        version: Version,
+        reason: String,
+        again_in: Span,
+    },
+    Refused {
+        proxy: String,
+        version: Version,
+        reason: String,
+    },
+    ReportRefused {
+        proxy: String,
+        reason: String,
+    },
+    UnknownNodes {
+        count: u64,
+    },
+    ChannelFull {
+        lines: f64,
+    },
+    Pruned {
+        proxy: String,
+        nodes: Vec<String>,
+    },
+    Remark {
+        text: String,
+    },
+    /// The module could not use an event.
+    NotUsed {
+        reason: String,
+    },
+}
+
+#[derive(Debug, thiserror::Error)]
+pub enum StartError {
+    #[error("settings that can't be: {}", .0.iter().map(|f| format!("{}: {}", f.field, f.text)).collect::<Vec<_>>().join("; "))]
+    Flaws(Vec<Flaw>),
+    #[error("the decisions can't start: {0}")]
+    Module(String),
+}
+
+/// Of the period of sums.
+const ECHO: f64 = 0.06;
+/// Of the grace for drains: how long proxies have to come back after a restart before their old files are
+/// looked through.
+const PRUNE_AFTER: f64 = 0.25;
+/// Times the longest delay of a message, at least so many seconds: a reader may still be at a version
+/// that it was pointed away from.
+const RETIRE_AFTER: (f64, f64) = (10.0, 20.0);
+
+pub struct Session {
+    plan: Deployment,
+    balancer: Balancer,
+    nodes: Nodes,
+    members: Membership,
+    book: Book,
+    channel: Channel,
+    marks: Marks,
+    sums: Sums,
+    timers: BTreeSet<(Moment, TimerId)>,
+    next_period: Moment,
+    next_settle: Moment,
+    /// What each proxy was last pointed at.
+    pointed: BTreeMap<ProxyId, Arc<TableSet>>,
+    /// What is on its way to the disk.
+    sent: BTreeMap<ProxyId, Arc<TableSet>>,
+    /// Versions on the disk, and when one was last in use.
+    lying: BTreeMap<Version, Moment>,
+    /// Found at the start and not joined since; pruned of nodes that have left.
+    strangers: BTreeMap<String, TableSet>,
+    stranger_writes: BTreeSet<String>,
+    prune_at: Option<Moment>,
+    started: bool,
+    stirred: bool,
+    echo_at: Option<Moment>,
+    full: bool,
+    effects: Vec<Effect>,
+}
+
+impl Session {
+    pub fn start(
+        now: Moment,
+        seed: u64,
+        plan: Deployment,
+        number: u32,
+        found: Found,
+    ) -> Result<Session, StartError> {
+        let flaws = plan.flaws();
+        if !flaws.is_empty() {
+            return Err(StartError::Flaws(flaws));
+        }
+        let balancer = Balancer::start(now, seed, plan.facts(number, None)).map_err(StartError::Module)?;
+        let held = found.held.values().map(|set| set.version);
+        let last = held.chain(found.versions.iter().copied()).max().unwrap_or_default();
+        Ok(Session {
+            balancer,
+            nodes: Nodes::default(),
+            members: Membership::default(),
+            book: Book::new(plan.operations.len(), last),
+            channel: Channel::new(now, &plan.channel),
+            marks: Marks::default(),
+            sums: Sums::default(),
+            timers: BTreeSet::new(),
+            next_period: now + plan.sums.period,
+            next_settle: now,
+            pointed: BTreeMap::new(),
+            sent: BTreeMap::new(),
+            lying: found.versions.into_iter().map(|version| (version, now)).collect(),
+            strangers: found.held,
+            stranger_writes: BTreeSet::new(),
+            prune_at: Some(now + plan.rules.drain_grace * PRUNE_AFTER),
+            started: false,
+            stirred: true,
+            echo_at: None,
+            full: false,
+            effects: Vec::new(),
+            plan,
+        })
+    }
+
+    pub fn plan(&self) -> &Deployment {
+        &self.plan
+    }
+
+    pub fn lines_waiting(&self) -> f64 {
+        self.channel.lines_waiting()
+    }
+
+    pub fn messages(&self) -> u64 {
+        self.channel.messages
+    }
+
+    pub fn nodes(&self) -> &Nodes {
+        &self.nodes
+    }
+
+    pub fn members(&self) -> &Membership {
+        &self.members
+    }
+
+    /// What a proxy was last pointed at.
+    pub fn published_to(&self, proxy: &str) -> Option<&Arc<TableSet>> {
+        self.pointed.get(&self.members.member(proxy)?.id)
+    }
+
+    // ---- what happened ----
+
+    pub fn observe(&mut self, now: Moment, observation: Observation) {
+        self.stirred = true;
+        match observation {
+            Observation::List(list) => self.list(now, list),
+            Observation::StreamOpened { stream, who } => self.opened(now, stream, &who),
+            Observation::StreamClosed { stream } => self.closed(now, stream),
+            Observation::Report { stream, report } => self.report(stream, &report),
+            Observation::Status { proxy, version, refused } => self.status(proxy, version, refused),
+            Observation::Pointed { proxy, version, result } => self.was_pointed(now, proxy, version, result),
+            Observation::Pace { lines_per_second } => self.channel.set_pace(lines_per_second),
+        }
+    }
+
+    fn log(&mut self, notice: Notice) {
+        self.effects.push(Effect::Log(notice));
+    }
+
+    fn hear(&mut self, now: Moment, event: &Event) {
+        if let Err(reason) = self.balancer.hear(now, event) {
+            self.log(Notice::NotUsed { reason });
+        }
+    }
+
+    fn list(&mut self, now: Moment, list: Result<NodeList, String>) {
+        let first = !std::mem::replace(&mut self.started, true);
+        match self.nodes.take(now, list, &self.plan, first) {
+            Ok(event) => {
+                let Event::List { entries, .. } = &event else { return };
+                let changes = entries.len();
+                self.hear(now, &event);
+                let ready = self.nodes.listed().filter(|(record, _)| !record.draining).count();
+                self.log(Notice::ListTaken { version: self.nodes.version().to_string(), ready, changes });
+                self.prune_at = self.prune_at.or(Some(now + self.plan.rules.drain_grace * PRUNE_AFTER));
+            }
+            Err(refusal) => self.log(Notice::ListRefused { reason: refusal.to_string() }),
+        }
+    }
+
+    fn opened(&mut self, now: Moment, stream: StreamId, who: &Introduction) {
+        match self.members.open(now, stream, who, &self.plan) {
+            Ok(opened) => {
+                if let Some(old) = opened.superseded {
+                    let reason = format!("`{}` opened another stream", who.name);
+                    self.effects.push(Effect::Close { stream: old, reason });
+                }
+                self.effects.push(Effect::Accept { stream, period: self.plan.sums.period });
+                opened.events.iter().for_each(|event| self.hear(now, event));
+                self.log(Notice::Joined { proxy: who.name.clone(), zone: who.zone.clone() });
+                if let (Some(set), Some(member)) =
+                    (self.strangers.remove(&who.name), self.members.member(&who.name))
+                {
+                    self.pointed.insert(member.id, Arc::new(set));
+                }
+            }
+            Err(turned) => {
+                let reason = turned.to_string();
+                self.log(Notice::TurnedAway { stream, reason: reason.clone() });
+                self.effects.push(Effect::Close { stream, reason });
+            }
+        }
+    }
+
+    fn closed(&mut self, now: Moment, stream: StreamId) {
+        let who = self.members.of_stream(stream).map(|(name, member)| (name.to_string(), member.id));
+        let (Some((proxy, id)), Some(event)) = (who, self.members.close(now, stream)) else { return };
+        self.marks.forget(id);
+        self.hear(now, &event);
+        self.log(Notice::Left { proxy });
+    }
+
+    fn report(&mut self, stream: StreamId, report: &Report) {
+        let Some((name, member)) = self.members.of_stream(stream) else { return };
+        let (name, id, zone) = (name.to_string(), member.id, member.zone);
+        let before = self.sums.unknown_nodes;
+        let nodes = &self.nodes;
+        let result = self.sums.report(id, zone, report, &self.plan, |node| nodes.record(node).is_some());
+        if let Err(absurd) = result {
+            let reason = absurd.to_string();
+            self.effects.push(Effect::Close { stream, reason: reason.clone() });
+            self.log(Notice::ReportRefused { proxy: name, reason });
+        } else if self.sums.unknown_nodes > before && before == 0 {
+            self.log(Notice::UnknownNodes { count: self.sums.unknown_nodes });
+        }
+    }
+
+    fn status(&mut self, proxy: String, version: Version, refused: Option<String>) {
+        let Some(id) = self.members.member(&proxy).map(|member| member.id) else { return };
+        match refused {
+            None => self.marks.told(id, version),
+            Some(reason) => {
+                self.marks.refused(id, version);
+                self.log(Notice::Refused { proxy, version, reason });
+            }
+        }
+    }
+
+    fn was_pointed(&mut self, now: Moment, proxy: String, version: Version, result: Result<(), String>) {
+        let Some(id) = self.members.member(&proxy).map(|member| member.id) else {
+            self.stranger_writes.remove(&proxy);
+            return;
+        };
+        let Some(set) = self.sent.remove(&id) else { return };
+        match result {
+            Ok(()) => {
+                self.channel.done(id);
+                self.marks.pointed(now, id, version);
+                self.pointed.insert(id, set);
+                self.log(Notice::Pointed { proxy, version });
+            }
+            Err(reason) => {
+                let again_in = self.channel.failed(now, id, Urgency::Change);
+                self.log(Notice::WriteFailed { proxy, version, reason, again_in });
+            }
+        }
+    }
+
+    // ---- what follows ----
+
+    /// Lets the module decide if it is time to, and writes what is to be done to `out`.
+    pub fn settle(&mut self, now: Moment, out: &mut Vec<Effect>) {
+        if self.started && now >= self.next_settle && (self.stirred || self.due(now)) {
+            // The module takes in news that come close upon each other in one go: it is asked once more.
+            let echo = self.stirred.then_some(now + self.plan.sums.period * ECHO);
+            self.echo_at = echo.or(self.echo_at.filter(|at| *at > now));
+            self.stirred = false;
+            self.next_settle = now + self.plan.conductors.tick;
+            self.decide(now);
+        }
+        self.prune(now);
+        self.send(now);
+        out.append(&mut self.effects);
+    }
+
+    fn due(&self, now: Moment) -> bool {
+        now >= self.next_period
+            || self.echo_at.is_some_and(|at| at <= now)
+            || self.timers.first().is_some_and(|(at, _)| *at <= now)
+            || self.marks.wake_at().is_some_and(|at| at <= now)
+    }
+
+    fn decide(&mut self, now: Moment) {
+        while let Some((_, timer)) = self.timers.first().copied().filter(|(at, _)| *at <= now) {
+            self.timers.pop_first();
+            self.hear(now, &Event::Timer { timer });
+        }
+        if now >= self.next_period {
+            // A loop that stood still for periods makes up for none of them.
+            let period = self.plan.sums.period;
+            self.next_period = (self.next_period + period).max(now + period * 0.5);
+            for event in self.sums.drain(&self.members) {
+                self.hear(now, &event);
+            }
+            for proxy in self.members.forget(now, &self.plan) {
+                self.log(Notice::Forgotten { proxy });
+            }
+            self.let_go();
+            self.retire(now);
+        }
+        for event in self.marks.answered(now) {
+            self.hear(now, &event);
+        }
+        let mut actions = Vec::new();
+        self.balancer.settle(now, &mut actions);
+        let mut marks = Vec::new();
+        let mut bound = BTreeSet::new();
+        for action in actions {
+            match action {
+                Action::SetLine { table, node, weight } => self.book.set_line(table, node, weight),
+                Action::ClearTable { table } => self.book.clear(table),
+                Action::Bind { proxy, table, operations } => {
+                    self.book.bind(proxy, table, &operations);
+                    bound.insert(proxy);
+                }
+                Action::SetLevel { table, operations, quota, retry } => {
+                    self.book.set_level(table, &operations, quota, retry);
+                }
+                Action::Withdraw { node, out } => self.book.withdraw(node, out),
+                Action::Mark { mark, everyone } => marks.push((mark, everyone)),
+                Action::SetTimer { after, timer } => drop(self.timers.insert((now + after, timer))),
+                // The list is watched: what is held is what there is.
+                Action::ReadList => {
+                    let whole = self.nodes.complete();
+                    self.hear(now, &whole);
+                }
+                Action::Remark { text } => self.log(Notice::Remark { text }),
+                // Not allowed by the facts that this program gives.
+                Action::Watch { .. } | Action::Probe { .. } | Action::Tell { .. } => {}
+            }
+        }
+        self.publish(now, bound, marks);
+    }
+
+    fn publish(
+        &mut self,
+        now: Moment,
+        mut touched: BTreeSet<ProxyId>,
+        marks: Vec<(wheelspread::ids::MarkId, bool)>,
+    ) {
+        let nodes = &self.nodes;
+        let zone = |node: NodeId| nodes.record(node).map_or(String::new(), |record| record.zone.clone());
+        let published: BTreeSet<BundleId> = self.book.publish(zone).into_iter().collect();
+        let bound: Vec<ProxyId> = self.book.bound().collect();
+        let users =
+            bound.iter().filter(|proxy| self.book.bundle_of(**proxy).is_some_and(|b| published.contains(&b)));
+        touched.extend(users);
+        for bundle in &published {
+            let proxies = bound.iter().filter(|proxy| self.book.bundle_of(**proxy) == Some(*bundle)).count();
+            if let Some(set) = self.book.newest(*bundle) {
+                let lines = set.operations.iter().map(|operation| operation.lines.len()).max().unwrap_or(0);
+                let version = set.version;
+                self.log(Notice::Published { bundle: *bundle, version, proxies, lines });
+                self.lying.insert(version, now);
+            }
+        }
+        for proxy in &touched {
+            self.offer(now, *proxy);
+        }
+        let joined = |id: &ProxyId| {
+            self.members
+                .name(*id)
+                .and_then(|name| self.members.member(name))
+                .is_some_and(|member| member.joined())
+        };
+        let everyone: Vec<ProxyId> = bound.iter().copied().filter(joined).collect();
+        for (mark, all) in marks {
+            let asked: Vec<ProxyId> =
+                everyone.iter().copied().filter(|proxy| all || touched.contains(proxy)).collect();
+            for proxy in asked {
+                let newest = self.book.bundle_of(proxy).and_then(|bundle| self.book.newest(bundle));
+                let Some(version) = newest.map(|set| set.version) else { continue };
+                self.marks.ask(now, proxy, mark, version);
+                if self.pointed.get(&proxy).is_some_and(|set| set.version >= version) {
+                    self.marks.pointed(now, proxy, version);
+                }
+            }
+        }
+        let full = self.channel.full();
+        if full && !self.full {
+            self.log(Notice::ChannelFull { lines: self.channel.lines_waiting() });
+        }
+        self.full = full;
+    }
+
+    /// Puts the newest tables of a proxy into its channel, unless it was pointed at them already.
+    fn offer(&mut self, now: Moment, proxy: ProxyId) {
+        let Some(newest) = self.book.bundle_of(proxy).and_then(|bundle| self.book.newest(bundle)) else {
+            return;
+        };
+        let held = self.sent.get(&proxy).or(self.pointed.get(&proxy));
+        if held.is_some_and(|held| held.version == newest.version) {
+            return;
+        }
+        let joined = self.members.name(proxy).and_then(|name| self.members.member(name));
+        let urgency = match (joined.is_some_and(|member| member.joined()), held) {
+            (false, _) => Urgency::Away,
+            (true, Some(held)) if removes_lines(held, newest) => Urgency::Removal,
+            (true, None) => Urgency::Empty,
+            (true, Some(_)) => Urgency::Change,
+        };
+        self.channel.offer(now, proxy, lines_apart(held.map(Arc::as_ref), newest) as f64, urgency);
+    }
+
+    fn send(&mut self, now: Moment) {
+        while let Some(id) = self.channel.next(now) {
+            let newest = self.book.bundle_of(id).and_then(|bundle| self.book.newest(bundle)).cloned();
+            let (Some(set), Some(name)) = (newest, self.members.name(id)) else {
+                self.channel.done(id);
+                continue;
+            };
+            let proxy = name.to_string();
+            self.sent.insert(id, set.clone());
+            self.effects.push(Effect::Point { proxy, set });
+        }
+    }
+
+    /// Proxies that were forgotten are written to no more.
+    fn let_go(&mut self) {
+        let bound: Vec<ProxyId> = self.book.bound().collect();
+        for id in bound.into_iter().filter(|id| self.members.name(*id).is_none()) {
+            self.book.unbind(id);
+            self.channel.drop_proxy(id);
+            self.marks.forget(id);
+            self.sums.forget(id);
+            self.pointed.remove(&id);
+            self.sent.remove(&id);
+        }
+    }
+
+    fn retire(&mut self, now: Moment) {
+        let pointed = self.pointed.values().chain(self.sent.values()).map(|set| set.version);
+        let strangers = self.strangers.values().map(|set| set.version);
+        let newest = self.book.in_force().map(|set| set.version);
+        for version in pointed.chain(strangers).chain(newest) {
+            self.lying.insert(version, now);
+        }
+        let long = Span::from_seconds(
+            (self.plan.channel.delay_at_most.seconds() * RETIRE_AFTER.0).max(RETIRE_AFTER.1),
+        );
+        let old: Vec<Version> =
+            self.lying.iter().filter(|(_, used)| now - **used >= long).map(|(version, _)| *version).collect();
+        for version in old {
+            self.lying.remove(&version);
+            self.effects.push(Effect::Retire { version });
+        }
+    }
+
+    /// After a restart proxies that have not come back yet still read the files of the time before. What
+    /// these name and the list no longer holds ready is taken out; nothing else is changed for them, and a
+    /// table that would be left empty stays as it is.
+    fn prune(&mut self, now: Moment) {
+        if self.prune_at.is_none_or(|at| now < at) {
+            return;
+        }
+        self.prune_at = None;
+        if self.nodes.version().is_empty() {
+            return; // the first list sets the time anew
+        }
+        let ready: BTreeSet<NodeId> = self
+            .nodes
+            .listed()
+            .filter(|(_, entry)| entry.listing == Listing::Ready)
+            .map(|(_, entry)| entry.node)
+            .collect();
+        let names: Vec<String> = self.strangers.keys().cloned().collect();
+        for proxy in names.into_iter().filter(|name| !self.stranger_writes.contains(name)).collect::<Vec<_>>()
+        {
+            let mut set = self.strangers[&proxy].clone();
+            let mut out = BTreeSet::new();
+            for operation in &mut set.operations {
+                if operation.lines.iter().any(|line| ready.contains(&line.node)) {
+                    out.extend(operation.lines.iter().map(|l| l.node).filter(|node| !ready.contains(node)));
+                    operation.lines.retain(|line| ready.contains(&line.node));
+                }
+            }
+            if out.is_empty() {
+                continue;
+            }
+            set.version = self.book.number();
+            // A bundle of its own: nobody else reads it.
+            set.bundle = BundleId(u32::MAX);
+            self.lying.insert(set.version, now);
+            self.strangers.insert(proxy.clone(), set.clone());
+            self.stranger_writes.insert(proxy.clone());
+            let nodes = out.into_iter().map(show).collect();
+            self.log(Notice::Pruned { proxy: proxy.clone(), nodes });
+            self.effects.push(Effect::Point { proxy, set: Arc::new(set) });
+        }
+    }
+
+    /// When `settle` should be called again though nothing was observed.
+    pub fn wake_at(&self, now: Moment) -> Moment {
+        let mut at = if self.started { self.next_period } else { now + self.plan.sums.period };
+        if self.stirred && self.started {
+            at = at.min(self.next_settle);
+        }
+        let times =
+            [self.timers.first().map(|(at, _)| *at), self.marks.wake_at(), self.prune_at, self.echo_at];
+        for due in times.into_iter().flatten() {
+            at = at.min(due.max(self.next_settle));
+        }
+        self.channel.wake_at(now).map_or(at, |due| at.min(due))
+    }
+}
+
+#[cfg(test)]
+#[path = "tests.rs"]
+mod tests;
--- a/crates/wheelspread/src/interface.rs
+++ b/crates/wheelspread/src/interface.rs
@@ -18,7 +18,7 @@
     Unavailable,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct ListEntry {
     pub node: NodeId,
     pub zone: ZoneId,
@@ -30,7 +30,7 @@
     pub started: Option<Moment>,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Event {
     List {
         kind: ListKind,
