--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,82 @@
+//! The `wheelspread` program: one sub-command for each thing that it does.
+
+use clap::{Parser, Subcommand};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use wheelspread_conductor::{log, Conductor, ConductorFile};
+
+/// Directs the traffic of a fleet of plain proxies.
+#[derive(Parser)]
+#[command(name = "wheelspread", version)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Runs a conductor until it is told to stop (SIGTERM or SIGINT).
+    Run {
+        /// What it is told: see docs/operating.md
+        file: PathBuf,
+    },
+    /// Says what is wrong with a conductor's file, or that nothing is.
+    Check { file: PathBuf },
+}
+
+/// A file or a call that can't be carried out.
+const BAD_INPUT: u8 = 2;
+
+fn main() -> ExitCode {
+    match Cli::parse().command {
+        Command::Run { file } => run(&file),
+        Command::Check { file } => check(&file),
+    }
+}
+
+fn read(path: &Path) -> Result<ConductorFile, ExitCode> {
+    ConductorFile::read(path).map_err(|error| {
+        eprintln!("{error}");
+        ExitCode::from(BAD_INPUT)
+    })
+}
+
+fn check(path: &Path) -> ExitCode {
+    match read(path) {
+        Ok(file) => {
+            let plan = &file.deployment;
+            println!(
+                "{}: conductor {} of {}, {} zones, {} operations: nothing is wrong",
+                path.display(),
+                file.conductor.name,
+                plan.conductors.count,
+                plan.zones.len(),
+                plan.operations.len()
+            );
+            ExitCode::SUCCESS
+        }
+        Err(code) => code,
+    }
+}
+
+fn run(path: &Path) -> ExitCode {
+    let file = match read(path) {
+        Ok(file) => file,
+        Err(code) => return code,
+    };
+    log::start(&file.log);
+    let conductor = match Conductor::start(file, Some(path)) {
+        Ok(conductor) => conductor,
+        Err(error) => {
+            eprintln!("{}: {error}", path.display());
+            return ExitCode::FAILURE;
+        }
+    };
+    match conductor.run() {
+        Ok(_) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{}: {error}", path.display());
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/conductor/src/file.rs
@@ -0,0 +1,161 @@
+//! What a conductor is told by its YAML file. Unknown fields and values that can't be are named with their
+//! line; paths are taken from where the file lies.
+
+use crate::locate::line_of;
+use serde::Deserialize;
+use std::net::SocketAddrV4;
+use std::path::{Path, PathBuf};
+use wheelspread_session::Deployment;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum LogForm {
+    Lines,
+    Json,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct LogPlan {
+    pub form: LogForm,
+    /// `error`, `warn`, `info`, `debug` or `trace`; or directives as `info,wheelspread_conductor=debug`.
+    pub level: String,
+}
+
+impl Default for LogPlan {
+    fn default() -> Self {
+        LogPlan { form: LogForm::Lines, level: "info".to_string() }
+    }
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Place {
+    pub name: String,
+    /// Among the conductors that share the proxies, from 0.
+    #[serde(default)]
+    pub number: u32,
+    #[serde(default)]
+    pub seed: u64,
+    /// Where proxies open their streams of sums.
+    pub listen: SocketAddrV4,
+    /// The root of the files front.
+    pub tables: PathBuf,
+    /// The list of nodes.
+    pub list: PathBuf,
+    /// Watched for swaps; without it, the directory that the list lies in.
+    #[serde(default)]
+    pub watched_directory: Option<PathBuf>,
+    #[serde(default = "most_connections")]
+    pub connections_at_most: usize,
+}
+
+fn most_connections() -> usize {
+    10_000
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ConductorFile {
+    pub conductor: Place,
+    #[serde(default)]
+    pub log: LogPlan,
+    pub deployment: Deployment,
+}
+
+/// Everything that is wrong with a file, a line each.
+#[derive(Debug, thiserror::Error)]
+pub enum BadFile {
+    #[error("{path}: {source}", path = .path.display())]
+    Unreadable { path: PathBuf, source: std::io::Error },
+    #[error("{path}: {text}", path = .path.display())]
+    Form { path: PathBuf, text: String },
+    #[error("{}", .0.join("\n"))]
+    Flaws(Vec<String>),
+}
+
+impl ConductorFile {
+    pub fn read(path: &Path) -> Result<ConductorFile, BadFile> {
+        let text = std::fs::read_to_string(path)
+            .map_err(|source| BadFile::Unreadable { path: path.to_path_buf(), source })?;
+        let mut file = ConductorFile::parse(&text, path)?;
+        let base = path.parent().unwrap_or(Path::new("."));
+        let place = &mut file.conductor;
+        place.tables = base.join(&place.tables);
+        place.list = base.join(&place.list);
+        place.watched_directory = place.watched_directory.take().map(|directory| base.join(directory));
+        Ok(file)
+    }
+
+    pub fn parse(text: &str, path: &Path) -> Result<ConductorFile, BadFile> {
+        let form = |text: String| BadFile::Form { path: path.to_path_buf(), text };
+        let file: ConductorFile = serde_yaml_ng::from_str(text).map_err(|error| form(error.to_string()))?;
+        let mut flaws: Vec<(String, String)> = Vec::new();
+        for flaw in file.deployment.flaws() {
+            flaws.push((format!("deployment.{}", flaw.field), flaw.text));
+        }
+        let count = file.deployment.conductors.count;
+        if file.conductor.number >= count {
+            let text = format!("{} of {count} conductors: they count from 0", file.conductor.number);
+            flaws.push(("conductor.number".to_string(), text));
+        }
+        if file.conductor.connections_at_most == 0 {
+            flaws.push(("conductor.connections_at_most".to_string(), "should be above 0".to_string()));
+        }
+        if tracing_subscriber::EnvFilter::try_new(&file.log.level).is_err() {
+            flaws.push(("log.level".to_string(), format!("`{}` is no level", file.log.level)));
+        }
+        if flaws.is_empty() {
+            return Ok(file);
+        }
+        let named = |(field, said): (String, String)| {
+            let line = line_of(text, &field).map_or(String::new(), |line| format!(" line {line},"));
+            format!("{}:{line} {field}: {said}", path.display())
+        };
+        Err(BadFile::Flaws(flaws.into_iter().map(named).collect()))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use test_case::test_case;
+
+    const TEXT: &str = "\
+conductor:
+  name: c0
+  listen: 127.0.0.1:0
+  tables: tables
+  list: nodes.json
+deployment:
+  zones: [north]
+  operations:
+    - name: quote
+      latency_objective: 1.2s
+      integration_timeout: 4s
+      billed_value: 2
+      repeat: idempotent
+  rules: {without_node_at_most: 2s, drain_grace: 2s, cold_start_share: 0.2, warm_after: 10s,
+          cold_overload_factor: 4, cold_overload_span: 2s}
+  channel: {lines_waiting_at_most: 1000, lines_per_second: 1000, delay_at_most: 500ms}
+";
+
+    #[test]
+    fn a_plain_file_is_read() {
+        let file = ConductorFile::parse(TEXT, Path::new("c.yaml")).expect("it is fine");
+        assert_eq!(file.deployment.operations[0].latency_objective.seconds(), 1.2);
+        assert_eq!(file.deployment.sums.period.seconds(), 1.0);
+    }
+
+    #[test_case("billed_value: 2", "billed_value: -2", "c.yaml: line 12, deployment.operations.0.billed_value"; "absurd")]
+    #[test_case("billed_value: 2", "billed_valu: 2", "unknown field `billed_valu`"; "misspelt")]
+    #[test_case("latency_objective: 1.2s", "latency_objective: 1.2", "a number and one of us, ms, s"; "no unit")]
+    #[test_case("name: c0", "name: c0\n  number: 1", "line 3, conductor.number: 1 of 1"; "one conductor too many")]
+    #[test_case("listen: 127.0.0.1:0", "listen: here", "conductor.listen"; "no address")]
+    #[test_case("name: c0", "name: [c0", "at line"; "no YAML")]
+    fn what_is_wrong_is_named_with_its_place(right: &str, wrong: &str, said: &str) {
+        let error = ConductorFile::parse(&TEXT.replace(right, wrong), Path::new("c.yaml"));
+        let error = error.expect_err("it is wrong").to_string();
+        assert!(error.contains(said), "{error}");
+    }
+}
--- /dev/null
+++ b/crates/conductor/src/log.rs
@@ -0,0 +1,47 @@
+//! Notices as structured log lines on standard error.
+
+use crate::file::{LogForm, LogPlan};
+use tracing::{debug, info, warn};
+use tracing_subscriber::EnvFilter;
+use wheelspread_session::Notice;
+
+/// Once for a program; a second call changes nothing.
+pub fn start(plan: &LogPlan) {
+    let filter = EnvFilter::try_new(&plan.level).unwrap_or_else(|_| EnvFilter::new("info"));
+    let lines = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    let _ = match plan.form {
+        LogForm::Lines => lines.with_target(false).try_init(),
+        LogForm::Json => lines.json().flatten_event(true).try_init(),
+    };
+}
+
+pub fn notice(notice: &Notice) {
+    match notice {
+        Notice::ListTaken { version, ready, changes } => info!(version, ready, changes, "list taken"),
+        Notice::ListRefused { reason } => warn!(reason, "list kept out"),
+        Notice::Joined { proxy, zone } => info!(proxy, zone, "proxy joined"),
+        Notice::Left { proxy } => info!(proxy, "proxy left"),
+        Notice::TurnedAway { stream, reason } => warn!(stream = stream.0, reason, "stream turned away"),
+        Notice::Forgotten { proxy } => info!(proxy, "proxy forgotten"),
+        Notice::Published { bundle, version, proxies, lines } => {
+            debug!(bundle = bundle.0, version = version.0, proxies, lines, "version made");
+        }
+        Notice::Pointed { proxy, version } => debug!(proxy, version = version.0, "proxy pointed at version"),
+        Notice::WriteFailed { proxy, version, reason, again_in } => {
+            let again_in_s = again_in.seconds();
+            warn!(proxy, version = version.0, reason, again_in_s, "tables not written");
+        }
+        Notice::Refused { proxy, version, reason } => {
+            warn!(proxy, version = version.0, reason, "proxy refused tables");
+        }
+        Notice::ReportRefused { proxy, reason } => warn!(proxy, reason, "report refused"),
+        Notice::UnknownNodes { count } => warn!(count, "reports speak of nodes that are not listed"),
+        Notice::ChannelFull { lines } => warn!(lines, "more lines wait than are allowed"),
+        Notice::Pruned { proxy, nodes } => {
+            let nodes = nodes.join(" ");
+            warn!(proxy, nodes, "taken out of the files of a proxy that has not come back");
+        }
+        Notice::Remark { text } => info!(text, "remark"),
+        Notice::NotUsed { reason } => debug!(reason, "event not used"),
+    }
+}
--- /dev/null
+++ b/crates/conductor/src/service.rs
@@ -0,0 +1,380 @@
+//! The loop. It waits until something is ready or due, turns that into observations, lets the session
+//! settle, and carries out what it says. The only other thread is the one that writes files.
+
+use crate::file::ConductorFile;
+use crate::log;
+use crate::streams::Streams;
+use std::collections::BTreeSet;
+use std::fs::File;
+use std::io;
+use std::net::{SocketAddrV4, TcpListener};
+use std::path::{Path, PathBuf};
+use tracing::{error, info, warn};
+use wheelspread::time::{Moment, Span};
+use wheelspread_files::{read, scan, Done, Job, Root, Writer};
+use wheelspread_grpc::Status;
+use wheelspread_reactor::{
+    self as reactor, Interest, Moved, Poll, Readiness, Signals, Token, Waker, Watcher,
+};
+use wheelspread_session::{Effect, Notice, Observation, Session, StartError};
+use wheelspread_xds::{loads, nodes, status};
+
+const LISTENER: Token = Token(0);
+const WAKER: Token = Token(1);
+const SIGNALS: Token = Token(2);
+const WATCHER: Token = Token(3);
+const CONNECTIONS: Token = Token(100);
+
+/// After an accept that failed for want of descriptors.
+const PAUSE: f64 = 0.2;
+/// Between two attempts to watch a directory that went away, and between looks at a list that may be there.
+const LOOK_AGAIN: f64 = 1.0;
+
+#[derive(Debug, thiserror::Error)]
+pub enum StartFailed {
+    #[error("{what}: {source}")]
+    Io { what: String, source: io::Error },
+    #[error("{0} is in use by another conductor")]
+    InUse(String),
+    #[error(transparent)]
+    Session(#[from] StartError),
+}
+
+/// Why `run` came to an end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    Told,
+}
+
+fn named(what: impl Into<String>) -> impl FnOnce(io::Error) -> StartFailed {
+    let what = what.into();
+    move |source| StartFailed::Io { what, source }
+}
+
+pub struct Conductor {
+    path: Option<PathBuf>,
+    file: ConductorFile,
+    poll: Poll,
+    listener: TcpListener,
+    paused_until: Option<Moment>,
+    waker: Waker,
+    signals: Signals,
+    watcher: Watcher,
+    lost: BTreeSet<PathBuf>,
+    look_at: Moment,
+    streams: Streams,
+    writer: Option<Writer>,
+    root: Root,
+    session: Session,
+    last_list: Option<Result<String, String>>,
+    _lock: File,
+}
+
+impl Conductor {
+    /// `path`: where the file came from, to be read again on a signal.
+    pub fn start(file: ConductorFile, path: Option<&Path>) -> Result<Conductor, StartFailed> {
+        let place = &file.conductor;
+        let root = Root::new(&place.tables);
+        root.prepare().map_err(named(format!("the root of tables {}", place.tables.display())))?;
+        let lock = lock(&root)?;
+        let poll = Poll::new().map_err(named("epoll"))?;
+        let waker = Waker::new(&poll, WAKER).map_err(named("eventfd"))?;
+        let wanted = [reactor::TERMINATE, reactor::INTERRUPT, reactor::RELOAD];
+        let signals = Signals::new(&poll, SIGNALS, &wanted).map_err(named("signals"))?;
+        let mut watcher = Watcher::new(&poll, WATCHER).map_err(named("inotify"))?;
+        let mut lost = BTreeSet::new();
+        let watched = watched(&file);
+        for directory in [watched, root.statuses()] {
+            if let Err(error) = watcher.add(&directory) {
+                warn!(directory = %directory.display(), %error, "can't be watched yet");
+                lost.insert(directory);
+            }
+        }
+        let scan = scan(&root, &file.deployment).map_err(named("what lies under the root of tables"))?;
+        for text in &scan.unreadable {
+            warn!(text, "found unreadable");
+        }
+        let (held, versions, leftovers) = (scan.found.held.len(), scan.found.versions.len(), scan.leftovers);
+        info!(name = place.name, held, versions, leftovers, "conductor starts");
+        let now = reactor::now();
+        let session = Session::start(now, place.seed, file.deployment.clone(), place.number, scan.found)?;
+        let writer =
+            Writer::start(root.clone(), file.deployment.clone(), waker.clone()).map_err(named("a thread"))?;
+        let listener = reactor::listen(place.listen).map_err(named(place.listen.to_string()))?;
+        poll.add(&listener, LISTENER, Interest::Readable).map_err(named("epoll"))?;
+        let streams = Streams::new(CONNECTIONS, place.connections_at_most, file.deployment.sums.period);
+        let mut conductor = Conductor {
+            path: path.map(Path::to_path_buf),
+            poll,
+            listener,
+            paused_until: None,
+            waker,
+            signals,
+            watcher,
+            lost,
+            look_at: now + Span::from_seconds(LOOK_AGAIN),
+            streams,
+            writer: Some(writer),
+            root,
+            session,
+            last_list: None,
+            _lock: lock,
+            file,
+        };
+        conductor.read_list(now);
+        Ok(conductor)
+    }
+
+    pub fn address(&self) -> io::Result<SocketAddrV4> {
+        match self.listener.local_addr()? {
+            std::net::SocketAddr::V4(address) => Ok(address),
+            other => Err(io::Error::other(format!("{other} is no IPv4 address"))),
+        }
+    }
+
+    /// Until a signal tells it to stop.
+    pub fn run(mut self) -> io::Result<Ended> {
+        let mut ready = Vec::new();
+        loop {
+            let now = reactor::now();
+            self.turn(now);
+            let wait = if self.streams.stirred() { Span::ZERO } else { self.wake_at(now) - reactor::now() };
+            self.poll.wait(wait, &mut ready)?;
+            let now = reactor::now();
+            for ready in ready.drain(..) {
+                if self.ready(now, ready)? {
+                    self.stop();
+                    return Ok(Ended::Told);
+                }
+            }
+        }
+    }
+
+    fn wake_at(&self, now: Moment) -> Moment {
+        let others = [self.streams.wake_at(), self.paused_until, Some(self.look_at)];
+        others.into_iter().flatten().fold(self.session.wake_at(now), Moment::min)
+    }
+
+    /// Settles and carries out until there is nothing more to do at once.
+    fn turn(&mut self, now: Moment) {
+        if self.paused_until.is_some_and(|until| now >= until) {
+            self.paused_until = None;
+            if let Err(error) = self.poll.add(&self.listener, LISTENER, Interest::Readable) {
+                error!(%error, "can't listen again");
+            }
+        }
+        if now >= self.look_at {
+            self.look_at = now + Span::from_seconds(LOOK_AGAIN);
+            self.look_again(now);
+        }
+        let mut told = Vec::new();
+        self.streams.turn(now, &mut told);
+        for observation in told {
+            self.session.observe(now, observation);
+        }
+        let mut effects = Vec::new();
+        self.session.settle(now, &mut effects);
+        for effect in effects {
+            self.carry_out(effect);
+        }
+    }
+
+    fn carry_out(&mut self, effect: Effect) {
+        match effect {
+            Effect::Accept { stream, period } => self.streams.send(stream, &loads::response(period)),
+            Effect::Close { stream, reason } => self.streams.close(stream, Status::InvalidArgument, &reason),
+            Effect::Point { proxy, set } => self.give(Job::Point { proxy, set }),
+            Effect::Retire { version } => self.give(Job::Retire { version }),
+            Effect::Log(notice) => log::notice(&notice),
+        }
+    }
+
+    fn give(&self, job: Job) {
+        if let Some(writer) = &self.writer {
+            writer.give(job);
+        }
+    }
+
+    /// `true`: told to stop.
+    fn ready(&mut self, now: Moment, ready: Readiness) -> io::Result<bool> {
+        match ready.token {
+            LISTENER => self.accept(now),
+            WAKER => self.written(now),
+            WATCHER => self.moved(now)?,
+            SIGNALS => {
+                for signal in self.signals.came() {
+                    match signal {
+                        reactor::RELOAD => self.reload(now),
+                        _ => return Ok(true),
+                    }
+                }
+            }
+            connection => self.streams.stir(connection),
+        }
+        Ok(false)
+    }
+
+    fn accept(&mut self, now: Moment) {
+        let (accepted, failed) = reactor::accept(&self.listener);
+        for socket in accepted {
+            if self.streams.full() {
+                warn!(
+                    most = self.file.conductor.connections_at_most,
+                    "connection turned away, no more are taken"
+                );
+                continue;
+            }
+            let token = self.streams.next_token();
+            match self.poll.add(&socket, token, Interest::Edges) {
+                Ok(()) => self.streams.add(now, token, socket),
+                Err(error) => warn!(%error, "connection turned away"),
+            }
+        }
+        if let Some(error) = failed {
+            warn!(%error, "can't accept, trying again shortly");
+            if self.poll.remove(&self.listener).is_ok() {
+                self.paused_until = Some(now + Span::from_seconds(PAUSE));
+            }
+        }
+    }
+
+    fn written(&mut self, now: Moment) {
+        self.waker.rest();
+        let done: Vec<Done> = self.writer.iter().flat_map(Writer::done).collect();
+        for done in done {
+            match done {
+                Done::Pointed { proxy, version, result } => {
+                    self.session.observe(now, Observation::Pointed { proxy, version, result });
+                }
+                Done::NotRetired { version, reason } => {
+                    warn!(version = version.0, reason, "an old version can't be removed");
+                }
+            }
+        }
+    }
+
+    fn moved(&mut self, now: Moment) -> io::Result<()> {
+        let watched = watched(&self.file);
+        let (mut list, mut statuses) = (false, BTreeSet::new());
+        for moved in self.watcher.moved()? {
+            match moved {
+                Moved::Into { directory, name } if directory == self.root.statuses() => {
+                    statuses.extend(name.strip_suffix(".json").map(str::to_string));
+                }
+                Moved::Into { directory, .. } => list |= directory == watched,
+                Moved::Gone { directory } => drop(self.lost.insert(directory)),
+                Moved::Overflow => {
+                    list = true;
+                    let names = self.session.members().members().map(|(name, _)| name.to_string());
+                    statuses.extend(names.collect::<Vec<_>>());
+                }
+            }
+        }
+        if list {
+            self.read_list(now);
+        }
+        for proxy in statuses {
+            self.read_status(now, &proxy);
+        }
+        Ok(())
+    }
+
+    /// What inotify can't tell: directories that come back, a list that was there before the watch.
+    fn look_again(&mut self, now: Moment) {
+        for directory in std::mem::take(&mut self.lost) {
+            match self.watcher.add(&directory) {
+                Ok(()) => self.read_list(now),
+                Err(_) => drop(self.lost.insert(directory)),
+            }
+        }
+        if self.last_list.as_ref().is_none_or(Result::is_err) {
+            self.read_list(now);
+        }
+    }
+
+    fn read_list(&mut self, now: Moment) {
+        let text = read::text(&self.file.conductor.list).map_err(|error| error.to_string());
+        // The same text again, as after a file was touched, is no news.
+        if self.last_list.as_ref() == Some(&text) {
+            return;
+        }
+        let list = text
+            .clone()
+            .and_then(|text| nodes::read(&text, reactor::wall()).map_err(|error| error.to_string()));
+        self.last_list = Some(text);
+        self.session.observe(now, Observation::List(list));
+    }
+
+    fn read_status(&mut self, now: Moment, proxy: &str) {
+        let path = self.root.status(proxy);
+        let told = read::text(&path).map_err(|error| error.to_string());
+        let told = told.and_then(|text| status::read(&text).map_err(|error| error.to_string()));
+        match told {
+            Ok(told) if told.proxy == proxy => {
+                let name = || proxy.to_string();
+                let held = Observation::Status { proxy: name(), version: told.version, refused: None };
+                self.session.observe(now, held);
+                if let Some((version, reason)) = told.refused {
+                    let refused = Observation::Status { proxy: name(), version, refused: Some(reason) };
+                    self.session.observe(now, refused);
+                }
+            }
+            Ok(told) => warn!(proxy, names = told.proxy, "a status that names another proxy"),
+            Err(reason) => warn!(proxy, reason, "a status that can't be read"),
+        }
+    }
+
+    /// Reads the file again. The channel's pace may change; anything else needs a restart.
+    fn reload(&mut self, now: Moment) {
+        let Some(path) = self.path.clone() else { return };
+        match ConductorFile::read(&path) {
+            Ok(new) => {
+                let lines_per_second = new.deployment.channel.lines_per_second;
+                let mut same = self.file.deployment.clone();
+                same.channel.lines_per_second = lines_per_second;
+                if same == new.deployment {
+                    info!(lines_per_second, "file read again");
+                } else {
+                    warn!("file read again: only channel.lines_per_second changes without a restart");
+                }
+                self.file.deployment.channel.lines_per_second = lines_per_second;
+                self.session.observe(now, Observation::Pace { lines_per_second });
+            }
+            Err(error) => {
+                let reason = error.to_string();
+                warn!(reason, "file not read again, the old one stands");
+            }
+        }
+    }
+
+    /// What was given to be written is written; the files stay as they then are.
+    fn stop(&mut self) {
+        self.streams.stop(reactor::now());
+        if let Some(writer) = self.writer.take() {
+            for done in writer.finish() {
+                if let Done::Pointed { proxy, version, result: Err(reason) } = done {
+                    let again_in = Span::ZERO;
+                    log::notice(&Notice::WriteFailed { proxy, version, reason, again_in });
+                }
+            }
+        }
+        info!("conductor stopped, its files stay");
+    }
+}
+
+fn watched(file: &ConductorFile) -> PathBuf {
+    let place = &file.conductor;
+    let parent = || place.list.parent().filter(|parent| !parent.as_os_str().is_empty());
+    place.watched_directory.clone().unwrap_or_else(|| parent().unwrap_or(Path::new(".")).to_path_buf())
+}
+
+/// Two conductors under one root would each undo what the other does.
+fn lock(root: &Root) -> Result<File, StartFailed> {
+    let path = root.path().join("lock");
+    let file = File::create(&path).map_err(named(path.display().to_string()))?;
+    match rustix::fs::flock(&file, rustix::fs::FlockOperation::NonBlockingLockExclusive) {
+        Ok(()) => Ok(file),
+        Err(rustix::io::Errno::WOULDBLOCK) => Err(StartFailed::InUse(root.path().display().to_string())),
+        Err(error) => Err(named(path.display().to_string())(error.into())),
+    }
+}
