--- /dev/null
+++ b/crates/proxy-core/src/core.rs
@@ -0,0 +1,550 @@
+//! The course of each invocation, as a table of state, input, next state and effect, over the tables that
+//! stand at the moment: a table that changes while an invocation is tried is the one its next try goes by.
+
+use crate::admission::Admission;
+use crate::pick::{Lines, Picking};
+use crate::retry::{may_follow, may_repeat, Budget, Failure, Guard, Past, Proof};
+use crate::shun::{Shunning, Standing};
+use crate::tally::Tally;
+use std::collections::{BTreeMap, BTreeSet};
+use wheelspread::ids::{NodeId, OperationId};
+use wheelspread::interface::Retry;
+use wheelspread::pcg::Pcg;
+use wheelspread::time::{Moment, Span};
+use wheelspread_session::sums::Report;
+
+/// An invocation under way. Numbers are used again, the second part tells uses apart.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct InvocationId(pub u32, pub u32);
+
+/// What a proxy knows of an operation besides its tables.
+#[derive(Clone, Debug)]
+pub struct OperationRules {
+    pub name: String,
+    pub guard: Guard,
+    /// What an invocation may take over all tries, where the tables don't say.
+    pub integration_timeout: Span,
+}
+
+#[derive(Clone, Debug)]
+pub struct CorePlan {
+    pub operations: Vec<OperationRules>,
+    pub picking: Picking,
+    /// Failures in a row after which a node is shunned; 0: never.
+    pub errors_until_avoided: u32,
+    pub avoided_for: Span,
+    /// Repeats, as a part of first tries; those that may come at once.
+    pub repeats: (f64, f64),
+    /// Invocations outstanding at one node; 0: no limit.
+    pub outstanding_at_most: u32,
+}
+
+/// What tables order for one operation.
+#[derive(Clone, Debug)]
+pub struct Orders {
+    pub lines: Vec<(NodeId, u32)>,
+    pub dropped_of_million: u32,
+    pub rate: Option<f64>,
+    pub retry: Retry,
+    pub per_try_timeout: Option<Span>,
+    pub timeout: Option<Span>,
+}
+
+/// How a try ended.
+#[derive(Clone, Debug)]
+pub enum TryEnd {
+    /// Answered in full; with the loads the node told of.
+    Succeeded {
+        loads: Vec<(String, f64)>,
+    },
+    Failed(Failure),
+}
+
+/// Send the invocation to a node, as its so-manyth try.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Send {
+    pub node: NodeId,
+    pub number: u32,
+    /// When the shell must let go of it; `Core` says so by itself, too.
+    pub until: Moment,
+}
+
+/// What the client is told.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Answer {
+    /// What the node answered.
+    Node,
+    /// Turned away; it may come again after a while.
+    RateLimited { again_in: Span },
+    /// There is no line to go by.
+    NoNode,
+    /// The last try failed, and no other is made.
+    Failed(Failure),
+    /// Nothing is told: the client is gone.
+    Nobody,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Move {
+    Send(Send),
+    /// Give up the try that is under way, then send.
+    SendInstead(Send),
+    Answer(Answer),
+    /// Give up the try that is under way, then answer.
+    AnswerInstead(Answer),
+    /// It is over already.
+    Nothing,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Decision {
+    pub invocation: InvocationId,
+    pub step: Move,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Arrived,
+    Trying,
+    Over,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Input {
+    LetIn,
+    TurnedAway,
+    NoLine,
+    Succeeded,
+    /// The try failed by itself, and another one is allowed, or not.
+    FailedRepeat,
+    Failed,
+    /// The try took too long.
+    LateRepeat,
+    Late,
+    /// The level fell to nothing.
+    Shut,
+    ClientGone,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Effect {
+    Send,
+    SendInstead,
+    TurnAway,
+    NoNode,
+    Forward,
+    GiveUp,
+    GiveUpInstead,
+    TurnAwayInstead,
+    LetGo,
+}
+
+const COURSE: &[(State, Input, State, Effect)] = &[
+    (State::Arrived, Input::LetIn, State::Trying, Effect::Send),
+    (State::Arrived, Input::TurnedAway, State::Over, Effect::TurnAway),
+    (State::Arrived, Input::NoLine, State::Over, Effect::NoNode),
+    (State::Trying, Input::Succeeded, State::Over, Effect::Forward),
+    (State::Trying, Input::FailedRepeat, State::Trying, Effect::Send),
+    (State::Trying, Input::Failed, State::Over, Effect::GiveUp),
+    (State::Trying, Input::LateRepeat, State::Trying, Effect::SendInstead),
+    (State::Trying, Input::Late, State::Over, Effect::GiveUpInstead),
+    (State::Trying, Input::Shut, State::Over, Effect::TurnAwayInstead),
+    (State::Trying, Input::ClientGone, State::Over, Effect::LetGo),
+];
+
+#[derive(Clone, Debug)]
+struct Invocation {
+    use_number: u32,
+    state: State,
+    operation: OperationId,
+    deadline: Moment,
+    tries: u32,
+    tried: Vec<NodeId>,
+    node: Option<NodeId>,
+    sent_at: Moment,
+    until: Moment,
+    proof: Proof,
+    first_may_have_run: Option<Moment>,
+}
+
+#[derive(Clone, Debug)]
+struct Operation {
+    rules: OperationRules,
+    lines: Lines,
+    admission: Admission,
+    retry: Retry,
+    per_try_timeout: Option<Span>,
+    timeout: Option<Span>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Node {
+    shunning: Shunning,
+    outstanding: u32,
+}
+
+pub struct Core {
+    plan: CorePlan,
+    chance: Pcg,
+    operations: Vec<Operation>,
+    nodes: BTreeMap<NodeId, Node>,
+    invocations: Vec<Invocation>,
+    free: Vec<u32>,
+    timers: BTreeSet<(Moment, u32)>,
+    shunned: BTreeSet<(Moment, NodeId)>,
+    budget: Budget,
+    tally: Tally,
+    open: BTreeMap<(OperationId, NodeId), u64>,
+}
+
+impl Core {
+    pub fn new(now: Moment, seed: u64, plan: CorePlan) -> Core {
+        let operation = |rules: &OperationRules| Operation {
+            rules: rules.clone(),
+            lines: Lines::new([]),
+            admission: Admission::default(),
+            retry: Retry::AfterProofItNeverRan,
+            per_try_timeout: None,
+            timeout: None,
+        };
+        let names = plan.operations.iter().map(|rules| rules.name.clone()).collect();
+        Core {
+            chance: Pcg::new(seed),
+            operations: plan.operations.iter().map(operation).collect(),
+            nodes: BTreeMap::new(),
+            invocations: Vec::new(),
+            free: Vec::new(),
+            timers: BTreeSet::new(),
+            shunned: BTreeSet::new(),
+            budget: Budget::new(plan.repeats.0, plan.repeats.1),
+            tally: Tally::new(now, names),
+            open: BTreeMap::new(),
+            plan,
+        }
+    }
+
+    pub fn operation(&self, name: &str) -> Option<OperationId> {
+        self.operations
+            .iter()
+            .position(|operation| operation.rules.name == name)
+            .map(|at| OperationId(at as u8))
+    }
+
+    /// Nodes that some table names now.
+    pub fn published(&self) -> BTreeSet<NodeId> {
+        self.operations.iter().flat_map(|operation| operation.lines.nodes()).collect()
+    }
+
+    pub fn lines(&self, operation: OperationId) -> usize {
+        self.operations.get(usize::from(operation.0)).map_or(0, |operation| operation.lines.len())
+    }
+
+    pub fn standing(&self, node: NodeId) -> Standing {
+        self.nodes.get(&node).map_or(Standing::Open, |node| node.shunning.standing())
+    }
+
+    pub fn under_way(&self) -> usize {
+        self.invocations.len() - self.free.len()
+    }
+
+    /// New tables, all at once. Invocations under way go on; one whose operation is shut is answered.
+    pub fn tables(&mut self, now: Moment, orders: &[(OperationId, Orders)]) -> Vec<Decision> {
+        let named: BTreeSet<OperationId> = orders.iter().map(|(operation, _)| *operation).collect();
+        for (place, operation) in self.operations.iter_mut().enumerate() {
+            if !named.contains(&OperationId(place as u8)) {
+                operation.lines = Lines::new([]);
+            }
+        }
+        for (id, order) in orders {
+            let Some(operation) = self.operations.get_mut(usize::from(id.0)) else { continue };
+            operation.lines = Lines::new(order.lines.iter().copied());
+            operation.admission.order(now, order.dropped_of_million, order.rate);
+            operation.retry = order.retry;
+            (operation.per_try_timeout, operation.timeout) = (order.per_try_timeout, order.timeout);
+        }
+        let published = self.published();
+        // A node that is published no more and has nothing outstanding is forgotten, its run too.
+        self.nodes.retain(|node, known| published.contains(node) || known.outstanding > 0);
+        self.shunned.retain(|(_, node)| published.contains(node));
+        for node in published {
+            self.nodes.entry(node).or_default();
+            self.reopen(node);
+        }
+        let shut: Vec<u32> = (0..self.invocations.len() as u32)
+            .filter(|at| {
+                let invocation = &self.invocations[*at as usize];
+                let operation = &self.operations[usize::from(invocation.operation.0)];
+                invocation.state == State::Trying && operation.admission.shut()
+            })
+            .collect();
+        shut.into_iter().map(|at| self.turn(now, at, Input::Shut, None, Failure::Refused)).collect()
+    }
+
+    /// Opens or closes a node's lines in all operations, by what is known of it.
+    fn reopen(&mut self, node: NodeId) {
+        let known = self.nodes.entry(node).or_default();
+        let most = self.plan.outstanding_at_most;
+        let open = known.shunning.open() && (most == 0 || known.outstanding < most);
+        for operation in &mut self.operations {
+            operation.lines.set_open(node, open);
+        }
+    }
+
+    // ---- what happens ----
+
+    pub fn arrive(&mut self, now: Moment, operation: OperationId) -> Decision {
+        let of = &mut self.operations[usize::from(operation.0)];
+        let admitted = of.admission.ask(now, &mut self.chance);
+        let timeout = of.timeout.unwrap_or(of.rules.integration_timeout);
+        let fresh = Invocation {
+            use_number: 0,
+            state: State::Arrived,
+            operation,
+            deadline: now + timeout,
+            tries: 0,
+            tried: Vec::new(),
+            node: None,
+            sent_at: now,
+            until: now,
+            proof: Proof::NeverRan,
+            first_may_have_run: None,
+        };
+        let at = match self.free.pop() {
+            Some(at) => {
+                let use_number = self.invocations[at as usize].use_number.wrapping_add(1);
+                self.invocations[at as usize] = Invocation { use_number, ..fresh };
+                at
+            }
+            None => {
+                self.invocations.push(fresh);
+                self.invocations.len() as u32 - 1
+            }
+        };
+        match admitted {
+            Err(again_in) => self.turn_away(now, at, again_in),
+            Ok(()) => match self.pick(operation, &[]) {
+                Some(node) => {
+                    self.budget.first_try();
+                    self.turn(now, at, Input::LetIn, Some(node), Failure::Connect)
+                }
+                None => self.turn(now, at, Input::NoLine, None, Failure::Connect),
+            },
+        }
+    }
+
+    fn turn_away(&mut self, now: Moment, at: u32, again_in: Span) -> Decision {
+        self.tally.rate_limited(self.invocations[at as usize].operation);
+        let mut decision = self.turn(now, at, Input::TurnedAway, None, Failure::Refused);
+        decision.step = Move::Answer(Answer::RateLimited { again_in });
+        decision
+    }
+
+    /// Which place an id still names.
+    fn place(&self, id: InvocationId) -> Option<u32> {
+        let invocation = self.invocations.get(id.0 as usize)?;
+        (invocation.use_number == id.1 && invocation.state == State::Trying).then_some(id.0)
+    }
+
+    /// A try ended, or its bytes can't be forwarded; `number` tells which.
+    pub fn ended(&mut self, now: Moment, id: InvocationId, number: u32, end: TryEnd) -> Decision {
+        let nothing = Decision { invocation: id, step: Move::Nothing };
+        let Some(at) = self.place(id) else { return nothing };
+        let invocation = &self.invocations[at as usize];
+        let (Some(node), operation) = (invocation.node, invocation.operation) else { return nothing };
+        if invocation.tries != number {
+            return nothing;
+        }
+        match end {
+            TryEnd::Succeeded { loads } => {
+                let latency = now - invocation.sent_at;
+                self.tally.succeeded(operation, node, latency, &loads);
+                self.close_try(now, at, Some(true));
+                self.turn(now, at, Input::Succeeded, None, Failure::Connect)
+            }
+            TryEnd::Failed(failure) => self.failed(now, at, failure, false),
+        }
+    }
+
+    pub fn client_gone(&mut self, now: Moment, id: InvocationId) -> Decision {
+        let Some(at) = self.place(id) else { return Decision { invocation: id, step: Move::Nothing } };
+        self.close_try(now, at, None);
+        self.turn(now, at, Input::ClientGone, None, Failure::Unsent)
+    }
+
+    fn failed(&mut self, now: Moment, at: u32, failure: Failure, late: bool) -> Decision {
+        let invocation = &mut self.invocations[at as usize];
+        let (proof, operation) = (failure.proof(), invocation.operation);
+        if proof == Proof::MayHaveRun {
+            invocation.proof = Proof::MayHaveRun;
+            invocation.first_may_have_run = invocation.first_may_have_run.or(Some(invocation.sent_at));
+        }
+        if let Some(node) = invocation.node {
+            invocation.tried.push(node);
+            self.tally.errored(operation, node);
+        }
+        self.close_try(now, at, Some(false));
+        let invocation = &self.invocations[at as usize];
+        let of = &self.operations[usize::from(operation.0)];
+        let (tries, first_may_have_run) = (invocation.tries, invocation.first_may_have_run);
+        let past = Past { tries, proof: invocation.proof, first_may_have_run };
+        let allowed = now < invocation.deadline
+            && !of.admission.shut()
+            && may_repeat(of.retry, of.rules.guard, past, proof, invocation.deadline);
+        let tried = invocation.tried.clone();
+        // Another node, or none: the one that just failed is not asked again.
+        let node = if allowed { self.pick(operation, &tried) } else { None };
+        let node = node.filter(|_| self.budget.take());
+        let input = match (node.is_some(), late) {
+            (true, false) => Input::FailedRepeat,
+            (true, true) => Input::LateRepeat,
+            (false, false) => Input::Failed,
+            (false, true) => Input::Late,
+        };
+        if node.is_some() {
+            self.tally.repeated(operation);
+        }
+        self.turn(now, at, input, node, failure)
+    }
+
+    /// What is due by now: tries that took too long, nodes whose time is over.
+    pub fn due(&mut self, now: Moment) -> Vec<Decision> {
+        while let Some((_, node)) = self.shunned.first().copied().filter(|(at, _)| *at <= now) {
+            self.shunned.pop_first();
+            let span = self.plan.avoided_for;
+            if let Some(known) = self.nodes.get_mut(&node) {
+                known.shunning.pass(now, span);
+                self.reopen(node);
+            }
+        }
+        let mut decisions = Vec::new();
+        while let Some((until, at)) = self.timers.first().copied().filter(|(until, _)| *until <= now) {
+            self.timers.remove(&(until, at));
+            if self.invocations[at as usize].state == State::Trying {
+                decisions.push(self.failed(now, at, Failure::TimedOut, true));
+            }
+        }
+        decisions
+    }
+
+    pub fn wake_at(&self) -> Option<Moment> {
+        let timers = self.timers.first().map(|(at, _)| *at);
+        timers.into_iter().chain(self.shunned.first().map(|(at, _)| *at)).min()
+    }
+
+    pub fn report(&mut self, now: Moment) -> Option<Report> {
+        self.tally.report(now, &self.open)
+    }
+
+    // ---- how it goes on ----
+
+    fn pick(&mut self, operation: OperationId, tried: &[NodeId]) -> Option<NodeId> {
+        let Core { operations, nodes, chance, plan, .. } = self;
+        let lines = &mut operations[usize::from(operation.0)].lines;
+        let closed: Vec<NodeId> = tried.iter().copied().filter(|node| lines.set_open(*node, false)).collect();
+        let outstanding = |node: NodeId| nodes.get(&node).map_or(0, |node| node.outstanding);
+        let mut picked = lines.pick(plan.picking, chance, outstanding);
+        if picked.is_none() && tried.is_empty() {
+            // All are shunned or full: to shun one is only of use while another is better, so those that
+            // are shunned are asked after all.
+            let shunned: Vec<NodeId> = lines
+                .nodes()
+                .filter(|node| nodes.get(node).is_some_and(|node| !node.shunning.open()))
+                .filter(|node| plan.outstanding_at_most == 0 || outstanding(*node) < plan.outstanding_at_most)
+                .collect();
+            let opened: Vec<NodeId> =
+                shunned.into_iter().filter(|node| lines.set_open(*node, true)).collect();
+            picked = lines.pick(plan.picking, chance, outstanding);
+            for node in opened {
+                lines.set_open(node, false);
+            }
+        }
+        for node in closed {
+            lines.set_open(node, true);
+        }
+        picked
+    }
+
+    /// Takes a try off the books of its node; `None`: it told nothing of the node.
+    fn close_try(&mut self, now: Moment, at: u32, success: Option<bool>) {
+        let invocation = &mut self.invocations[at as usize];
+        self.timers.remove(&(invocation.until, at));
+        let Some(node) = invocation.node.take() else { return };
+        let key = (invocation.operation, node);
+        if let Some(count) = self.open.get_mut(&key) {
+            *count -= 1;
+            if *count == 0 {
+                self.open.remove(&key);
+            }
+        }
+        let Some(known) = self.nodes.get_mut(&node) else { return };
+        known.outstanding = known.outstanding.saturating_sub(1);
+        let (after, span) = (self.plan.errors_until_avoided, self.plan.avoided_for);
+        match success {
+            Some(success) => known.shunning.met(now, success, after, span),
+            None => known.shunning.untold(),
+        }
+        if let Some(until) = known.shunning.until() {
+            self.shunned.insert((until, node));
+        }
+        self.reopen(node);
+    }
+
+    fn turn(
+        &mut self,
+        now: Moment,
+        at: u32,
+        input: Input,
+        node: Option<NodeId>,
+        failure: Failure,
+    ) -> Decision {
+        let invocation = &self.invocations[at as usize];
+        let id = InvocationId(at, invocation.use_number);
+        let Some(row) = COURSE.iter().find(|row| (row.0, row.1) == (invocation.state, input)) else {
+            return Decision { invocation: id, step: Move::Nothing };
+        };
+        let (next, effect) = (row.2, row.3);
+        if matches!(effect, Effect::TurnAwayInstead) {
+            self.close_try(now, at, None);
+        }
+        self.invocations[at as usize].state = next;
+        if next == State::Over {
+            self.free.push(at);
+        }
+        let again_in = Span::from_seconds(1.0);
+        let step = match (effect, node) {
+            (Effect::Send, Some(node)) => Move::Send(self.send(now, at, node)),
+            (Effect::SendInstead, Some(node)) => Move::SendInstead(self.send(now, at, node)),
+            (Effect::TurnAway, _) => Move::Answer(Answer::RateLimited { again_in }),
+            (Effect::TurnAwayInstead, _) => Move::AnswerInstead(Answer::RateLimited { again_in }),
+            (Effect::NoNode, _) => Move::Answer(Answer::NoNode),
+            (Effect::Forward, _) => Move::Answer(Answer::Node),
+            (Effect::GiveUp, _) => Move::Answer(Answer::Failed(failure)),
+            (Effect::GiveUpInstead, _) => Move::AnswerInstead(Answer::Failed(failure)),
+            (Effect::LetGo, _) => Move::AnswerInstead(Answer::Nobody),
+            (Effect::Send | Effect::SendInstead, None) => Move::Nothing,
+        };
+        Decision { invocation: id, step }
+    }
+
+    fn send(&mut self, now: Moment, at: u32, node: NodeId) -> Send {
+        let invocation = &mut self.invocations[at as usize];
+        invocation.tries += 1;
+        (invocation.node, invocation.sent_at) = (Some(node), now);
+        let of = &self.operations[usize::from(invocation.operation.0)];
+        // One that may be followed is given up early; the last one is waited for as long as the client is.
+        let early = of.per_try_timeout.filter(|_| may_follow(of.retry, of.rules.guard, invocation.tries));
+        invocation.until = early.map_or(invocation.deadline, |early| (now + early).min(invocation.deadline));
+        let send = Send { node, number: invocation.tries, until: invocation.until };
+        self.timers.insert((invocation.until, at));
+        *self.open.entry((invocation.operation, node)).or_insert(0) += 1;
+        let known = self.nodes.entry(node).or_default();
+        known.outstanding += 1;
+        known.shunning.sent();
+        self.reopen(node);
+        send
+    }
+}
+
+#[cfg(test)]
+#[path = "tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/proxy-core/src/shun.rs
@@ -0,0 +1,190 @@
+//! Keeping away from a node after a run of failures of the proxy's own tries there, and coming back to it
+//! by a trial: one invocation at a time until one succeeds.
+
+use wheelspread::time::{Moment, Span};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    Open,
+    Shunned,
+    /// The time is over; the next try decides.
+    Trial,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Met {
+    Success,
+    /// One failure fewer than it takes.
+    Failure,
+    LastFailure,
+    TimeOver,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Effect {
+    Nothing,
+    ClearRun,
+    CountRun,
+    Shun,
+    ShunLonger,
+    Admit,
+}
+
+// A failure that comes back while the node is shunned already, of a try from before, changes nothing.
+const STANDING: &[(Standing, Met, Standing, Effect)] = &[
+    (Standing::Open, Met::Success, Standing::Open, Effect::ClearRun),
+    (Standing::Open, Met::Failure, Standing::Open, Effect::CountRun),
+    (Standing::Open, Met::LastFailure, Standing::Shunned, Effect::Shun),
+    (Standing::Shunned, Met::TimeOver, Standing::Trial, Effect::Nothing),
+    (Standing::Shunned, Met::Success, Standing::Trial, Effect::Nothing),
+    (Standing::Trial, Met::Success, Standing::Open, Effect::Admit),
+    (Standing::Trial, Met::Failure, Standing::Shunned, Effect::ShunLonger),
+    (Standing::Trial, Met::LastFailure, Standing::Shunned, Effect::ShunLonger),
+];
+
+/// How many times the first span a node is shunned at most, when its trials fail one after the other.
+const LONGEST: i32 = 4;
+
+#[derive(Clone, Debug)]
+pub struct Shunning {
+    standing: Standing,
+    run: u32,
+    until: Moment,
+    times: i32,
+    /// A trial is under way.
+    trying: bool,
+}
+
+impl Default for Shunning {
+    fn default() -> Self {
+        let until = Moment::from_seconds(0.0);
+        Shunning { standing: Standing::Open, run: 0, until, times: 0, trying: false }
+    }
+}
+
+impl Shunning {
+    pub fn standing(&self) -> Standing {
+        self.standing
+    }
+
+    /// Whether an invocation may go there now, for a line that is published.
+    pub fn open(&self) -> bool {
+        match self.standing {
+            Standing::Open => true,
+            Standing::Shunned => false,
+            Standing::Trial => !self.trying,
+        }
+    }
+
+    /// An invocation goes there.
+    pub fn sent(&mut self) {
+        self.trying |= self.standing == Standing::Trial;
+    }
+
+    pub fn until(&self) -> Option<Moment> {
+        (self.standing == Standing::Shunned).then_some(self.until)
+    }
+
+    /// `after`: failures in a row that it takes; 0: no node is ever shunned.
+    pub fn met(&mut self, now: Moment, success: bool, after: u32, span: Span) {
+        let met = match success {
+            true => Met::Success,
+            false if after > 0 && self.run + 1 >= after => Met::LastFailure,
+            false => Met::Failure,
+        };
+        self.trying = false;
+        self.turn(now, met, span);
+    }
+
+    /// A try that told nothing of the node, as when the client went away.
+    pub fn untold(&mut self) {
+        self.trying = false;
+    }
+
+    /// `true` if its time is over now.
+    pub fn pass(&mut self, now: Moment, span: Span) -> bool {
+        let over = self.standing == Standing::Shunned && now >= self.until;
+        if over {
+            self.turn(now, Met::TimeOver, span);
+        }
+        over
+    }
+
+    fn turn(&mut self, now: Moment, met: Met, span: Span) {
+        let Some(row) = STANDING.iter().find(|row| (row.0, row.1) == (self.standing, met)) else { return };
+        self.standing = row.2;
+        match row.3 {
+            Effect::Nothing => {}
+            Effect::ClearRun => self.run = 0,
+            Effect::CountRun => self.run += 1,
+            Effect::Shun => (self.until, self.times, self.run) = (now + span, 1, 0),
+            Effect::ShunLonger => {
+                self.times = (self.times * 2).min(LONGEST);
+                self.until = now + span * f64::from(self.times);
+            }
+            Effect::Admit => (self.run, self.times) = (0, 0),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const SPAN: f64 = 3.0;
+
+    fn at(seconds: f64) -> Moment {
+        Moment::from_seconds(seconds)
+    }
+
+    fn met(shunning: &mut Shunning, seconds: f64, success: bool) {
+        shunning.met(at(seconds), success, 3, Span::from_seconds(SPAN));
+    }
+
+    #[test]
+    fn a_run_of_failures_shuns_and_a_trial_brings_back() {
+        let mut node = Shunning::default();
+        for (seconds, success) in [(0.0, false), (0.1, false), (0.2, true), (0.3, false), (0.4, false)] {
+            met(&mut node, seconds, success);
+        }
+        assert!(node.open(), "a success in between ends the run");
+        met(&mut node, 0.5, false);
+        assert!(!node.open() && !node.pass(at(3.4), Span::from_seconds(SPAN)));
+        assert!(node.pass(at(3.5), Span::from_seconds(SPAN)) && node.open());
+        node.sent();
+        assert!(!node.open(), "one trial at a time");
+        met(&mut node, 3.6, false);
+        assert_eq!(node.until(), Some(at(9.6)), "a failed trial: twice as long");
+        assert!(node.pass(at(9.6), Span::from_seconds(SPAN)));
+        node.sent();
+        met(&mut node, 9.7, true);
+        assert_eq!((node.standing(), node.open()), (Standing::Open, true));
+    }
+
+    #[test]
+    fn late_failures_of_a_shunned_node_do_not_shun_it_longer() {
+        let mut node = Shunning::default();
+        (0..6).for_each(|_| met(&mut node, 0.0, false));
+        assert_eq!(node.until(), Some(at(3.0)));
+        // An answer that comes after all shortens it: it works.
+        met(&mut node, 0.5, true);
+        assert_eq!(node.standing(), Standing::Trial);
+    }
+
+    #[test]
+    fn a_trial_whose_client_went_away_leaves_room_for_the_next() {
+        let mut node = Shunning::default();
+        (0..3).for_each(|_| met(&mut node, 0.0, false));
+        node.pass(at(3.0), Span::from_seconds(SPAN));
+        node.sent();
+        node.untold();
+        assert!(node.open());
+    }
+
+    #[test]
+    fn with_no_limit_nothing_is_shunned() {
+        let mut node = Shunning::default();
+        (0..100).for_each(|_| node.met(at(0.0), false, 0, Span::from_seconds(SPAN)));
+        assert!(node.open());
+    }
+}
--- /dev/null
+++ b/crates/proxy-core/src/tally.rs
@@ -0,0 +1,160 @@
+//! Sums of what the proxy met, until they are told. They cover the time since they were last told, over a
+//! broken stream too, so nothing is lost or counted twice; each try counts when it ends.
+
+use std::collections::BTreeMap;
+use wheelspread::ids::{NodeId, OperationId};
+use wheelspread::time::{Moment, Span};
+use wheelspread_session::sums::{Metric, NodeReport, OperationReport, Report, LATENCY};
+
+#[derive(Clone, Debug, Default)]
+struct Met {
+    succeeded: u64,
+    errored: u64,
+    latency: Metric,
+    loads: BTreeMap<String, Metric>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Operation {
+    rate_limited: u64,
+    repeats: u64,
+    nodes: BTreeMap<NodeId, Met>,
+}
+
+#[derive(Clone, Debug)]
+pub struct Tally {
+    names: Vec<String>,
+    operations: Vec<Operation>,
+    since: Moment,
+}
+
+/// What is older tells nothing of the present and would be refused.
+const OLDEST: f64 = 300.0;
+
+impl Tally {
+    pub fn new(now: Moment, names: Vec<String>) -> Tally {
+        let operations = vec![Operation::default(); names.len()];
+        Tally { names, operations, since: now }
+    }
+
+    fn of(&mut self, operation: OperationId) -> Option<&mut Operation> {
+        self.operations.get_mut(usize::from(operation.0))
+    }
+
+    pub fn rate_limited(&mut self, operation: OperationId) {
+        self.of(operation).into_iter().for_each(|of| of.rate_limited += 1);
+    }
+
+    pub fn repeated(&mut self, operation: OperationId) {
+        self.of(operation).into_iter().for_each(|of| of.repeats += 1);
+    }
+
+    pub fn succeeded(
+        &mut self,
+        operation: OperationId,
+        node: NodeId,
+        latency: Span,
+        loads: &[(String, f64)],
+    ) {
+        let Some(of) = self.of(operation) else { return };
+        let met = of.nodes.entry(node).or_default();
+        met.succeeded += 1;
+        met.latency.count += 1;
+        met.latency.total += latency.seconds() * 1e3;
+        for (name, value) in loads {
+            match met.loads.get_mut(name) {
+                Some(metric) => (metric.count, metric.total) = (metric.count + 1, metric.total + value),
+                None => drop(met.loads.insert(name.clone(), Metric { count: 1, total: *value })),
+            }
+        }
+    }
+
+    pub fn errored(&mut self, operation: OperationId, node: NodeId) {
+        let Some(of) = self.of(operation) else { return };
+        of.nodes.entry(node).or_default().errored += 1;
+    }
+
+    /// What was met since the last report; counting begins anew.
+    pub fn report(
+        &mut self,
+        now: Moment,
+        in_progress: &BTreeMap<(OperationId, NodeId), u64>,
+    ) -> Option<Report> {
+        let over = now - self.since;
+        if over <= Span::ZERO {
+            return None;
+        }
+        self.since = now;
+        let taken = vec![Operation::default(); self.names.len()];
+        let mut taken = std::mem::replace(&mut self.operations, taken);
+        if over.seconds() > OLDEST {
+            return None;
+        }
+        let mut reports = Vec::new();
+        for (place, (name, mut of)) in self.names.iter().zip(taken.drain(..)).enumerate() {
+            let operation = OperationId(place as u8);
+            let range = in_progress.range((operation, NodeId { address: [0; 4], port: 0 })..);
+            for (key, _) in range.take_while(|(key, _)| key.0 == operation) {
+                of.nodes.entry(key.1).or_default();
+            }
+            let node = |(node, met): (NodeId, Met)| {
+                let mut metrics = met.loads;
+                if met.latency.count > 0 {
+                    metrics.insert(LATENCY.to_string(), met.latency);
+                }
+                NodeReport {
+                    node: Some(node),
+                    succeeded: met.succeeded,
+                    errored: met.errored,
+                    in_progress: in_progress.get(&(operation, node)).copied().unwrap_or(0),
+                    metrics,
+                }
+            };
+            reports.push(OperationReport {
+                operation: name.clone(),
+                rate_limited: of.rate_limited,
+                repeats: of.repeats,
+                nodes: of.nodes.into_iter().map(node).collect(),
+            });
+        }
+        Some(Report { over, operations: reports })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const QUOTE: OperationId = OperationId(0);
+
+    fn node(port: u16) -> NodeId {
+        NodeId { address: [10, 0, 0, 1], port }
+    }
+
+    #[test]
+    fn what_was_met_is_told_once_and_dated_by_its_span() {
+        let at = Moment::from_seconds;
+        let mut tally = Tally::new(at(10.0), vec!["quote".to_string(), "book".to_string()]);
+        let loads = [("cpu_utilization".to_string(), 0.5)];
+        tally.succeeded(QUOTE, node(1), Span::from_seconds(0.2), &loads);
+        tally.succeeded(QUOTE, node(1), Span::from_seconds(0.4), &loads);
+        tally.errored(QUOTE, node(2));
+        tally.rate_limited(QUOTE);
+        let open = BTreeMap::from([((QUOTE, node(3)), 4), ((OperationId(1), node(1)), 1)]);
+        let report = tally.report(at(17.5), &open).expect("time has passed");
+        assert_eq!(report.over, Span::from_seconds(7.5));
+        let quote = &report.operations[0];
+        assert_eq!(
+            (quote.rate_limited, quote.nodes.len()),
+            (1, 3),
+            "one that only has tries open is told too"
+        );
+        let first = &quote.nodes[0];
+        assert_eq!((first.succeeded, first.metrics["latency_ms"].mean().map(f64::round)), (2, Some(300.0)));
+        assert_eq!(first.metrics["cpu_utilization"].mean(), Some(0.5));
+        let again = tally.report(at(18.0), &BTreeMap::new()).expect("time has passed");
+        assert!(again.operations.iter().all(|of| of.nodes.is_empty() && of.rate_limited == 0));
+        assert_eq!(tally.report(at(18.0), &BTreeMap::new()), None, "no time, no report");
+        assert_eq!(tally.report(at(999.0), &BTreeMap::new()), None, "too old to tell anything");
+    }
+}
