--- a/crates/proxy-core/src/admission.rs
+++ b/crates/proxy-core/src/admission.rs
@@ -25,7 +25,7 @@
 
     /// How long until the next token.
     fn wait(&self) -> Span {
-        Span::from_seconds(((1.0 - self.held) / self.rate.max(1e-3)).clamp(0.0, 60.0))
+        Span::from_seconds(((1.0 - self.held) / self.rate.max(1e-3)).clamp(0.001, 60.0))
     }
 }
 
