--- a/crates/grpc/src/client.rs
+++ b/crates/grpc/src/client.rs
@@ -5,13 +5,13 @@
 use crate::Limits;
 use bytes::Bytes;
 use h2::client::{Connection, ResponseFuture, SendRequest};
-use h2::{RecvStream, SendStream};
+use h2::{Ping, PingPong, RecvStream, SendStream};
 use http::{Method, Request, Version};
 use std::future::Future;
 use std::net::TcpStream;
 use std::pin::Pin;
 use std::task::{Context, Poll, Waker};
-use wheelspread::time::Moment;
+use wheelspread::time::{Moment, Span};
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum ClientEvent {
@@ -33,6 +33,9 @@
 
 struct Open {
     connection: Connection<Socket, Bytes>,
+    pings: Option<PingPong>,
+    pinged: Option<Moment>,
+    quiet_since: Moment,
     /// Held so that the connection stays open.
     _requests: SendRequest<Bytes>,
     stream: Stream,
@@ -80,7 +83,7 @@
     pub fn turn(&mut self, now: Moment) -> (Vec<ClientEvent>, Option<String>) {
         let mut context = Context::from_waker(Waker::noop());
         for _ in 0..1000 {
-            match self.step(&mut context) {
+            match self.step(now, &mut context) {
                 Ok(true) => {}
                 Ok(false) => break,
                 Err(reason) => {
@@ -98,10 +101,10 @@
         (std::mem::take(&mut self.events), self.failed.clone())
     }
 
-    fn step(&mut self, context: &mut Context) -> Result<bool, String> {
+    fn step(&mut self, now: Moment, context: &mut Context) -> Result<bool, String> {
         match &mut self.state {
             State::Shaking(handshake) => match handshake.as_mut().poll(context) {
-                Poll::Ready(Ok((mut requests, connection))) => {
+                Poll::Ready(Ok((mut requests, mut connection))) => {
                     let request = Request::builder()
                         .method(Method::POST)
                         .version(Version::HTTP_2)
@@ -114,7 +117,16 @@
                     let (response, send) = sent;
                     let deframer = Deframer::new(self.limits.longest_message);
                     let stream = Stream { send, response: Some(response), receive: None, deframer };
-                    self.state = State::Open(Box::new(Open { connection, _requests: requests, stream }));
+                    let pings = connection.ping_pong();
+                    let open = Open {
+                        connection,
+                        pings,
+                        pinged: None,
+                        quiet_since: now,
+                        _requests: requests,
+                        stream,
+                    };
+                    self.state = State::Open(Box::new(open));
                     self.events.push(ClientEvent::Opened);
                     Ok(true)
                 }
@@ -130,7 +142,8 @@
                 }
                 let read = read(stream, &mut self.events, context)?;
                 let wrote = write(stream, &mut self.queue, &mut self.queued, context)?;
-                Ok(read | wrote)
+                let pinged = open.ping(now, self.limits.ping, context)?;
+                Ok(read | wrote | pinged)
             }
             State::Over => Ok(false),
         }
@@ -158,6 +171,37 @@
     }
 }
 
+impl Open {
+    /// A peer that is hung keeps its connection; only an answer shows that it is there.
+    fn ping(
+        &mut self,
+        now: Moment,
+        (every, patience): (Span, Span),
+        context: &mut Context,
+    ) -> Result<bool, String> {
+        let Some(pings) = &mut self.pings else { return Ok(false) };
+        if let Some(since) = self.pinged {
+            return match pings.poll_pong(context) {
+                Poll::Ready(Ok(_)) => {
+                    (self.pinged, self.quiet_since) = (None, now);
+                    Ok(true)
+                }
+                Poll::Ready(Err(error)) => Err(error.to_string()),
+                Poll::Pending if now - since > patience => {
+                    Err(format!("no answer to a ping for {} s", patience.seconds()))
+                }
+                Poll::Pending => Ok(false),
+            };
+        }
+        if now - self.quiet_since < every {
+            return Ok(false);
+        }
+        pings.send_ping(Ping::opaque()).map_err(|error| error.to_string())?;
+        self.pinged = Some(now);
+        Ok(true)
+    }
+}
+
 fn read(stream: &mut Stream, events: &mut Vec<ClientEvent>, context: &mut Context) -> Result<bool, String> {
     if let Some(response) = &mut stream.response {
         match Pin::new(response).poll(context) {
--- a/crates/grpc/src/lib.rs
+++ b/crates/grpc/src/lib.rs
@@ -23,12 +23,15 @@
     pub queued: usize,
     /// For the handshake, and for the rest of a message that has begun.
     pub patience: Span,
+    /// Of a client: how often it asks whether the peer is there, and how long it waits for the answer.
+    pub ping: (Span, Span),
 }
 
 impl Default for Limits {
     fn default() -> Self {
         let patience = Span::from_seconds(10.0);
-        Limits { longest_message: LONGEST_MESSAGE, streams: 100, queued: 1 << 20, patience }
+        let ping = (Span::from_seconds(1.0), Span::from_seconds(3.0));
+        Limits { longest_message: LONGEST_MESSAGE, streams: 100, queued: 1 << 20, patience, ping }
     }
 }
 
--- a/crates/grpc/tests/streams.rs
+++ b/crates/grpc/tests/streams.rs
@@ -179,3 +179,25 @@
     stage.until("the end", |stage| stage.over.is_some());
     assert!(stage.events.iter().any(|event| matches!(event, ServerEvent::Closed { .. })));
 }
+
+#[test]
+fn a_peer_that_is_hung_is_noticed_by_its_silence() {
+    let mut stage = Stage::new(Limits::default());
+    let mut client = stage.client();
+    client.send(b"hello");
+    stage.until("the stream", |stage| {
+        client.turn(now());
+        !messages(&stage.events).is_empty()
+    });
+    // Pings are answered while the peer's loop goes round.
+    let start = now();
+    assert_eq!(client.turn(start + Span::from_seconds(2.0)).1, None);
+    for _ in 0..20 {
+        stage.turn(now());
+        assert_eq!(client.turn(start + Span::from_seconds(2.5)).1, None);
+    }
+    // From here on it stands still.
+    assert_eq!(client.turn(start + Span::from_seconds(4.0)).1, None);
+    let over = client.turn(start + Span::from_seconds(7.5)).1;
+    assert_eq!(over.as_deref(), Some("no answer to a ping for 3 s"));
+}
--- a/crates/proxy-core/src/core.rs
+++ b/crates/proxy-core/src/core.rs
@@ -58,6 +58,8 @@
         loads: Vec<(String, f64)>,
     },
     Failed(Failure),
+    /// It failed when its answer had begun to go to the client: nothing can be made good.
+    Cut(Failure),
 }
 
 /// Send the invocation to a node, as its so-manyth try.
@@ -165,6 +167,7 @@
     until: Moment,
     proof: Proof,
     first_may_have_run: Option<Moment>,
+    answering: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -274,7 +277,7 @@
             .filter(|at| {
                 let invocation = &self.invocations[*at as usize];
                 let operation = &self.operations[usize::from(invocation.operation.0)];
-                invocation.state == State::Trying && operation.admission.shut()
+                invocation.state == State::Trying && !invocation.answering && operation.admission.shut()
             })
             .collect();
         shut.into_iter().map(|at| self.turn(now, at, Input::Shut, None, Failure::Refused)).collect()
@@ -308,6 +311,7 @@
             until: now,
             proof: Proof::NeverRan,
             first_may_have_run: None,
+            answering: false,
         };
         let at = match self.free.pop() {
             Some(at) => {
@@ -362,6 +366,22 @@
                 self.turn(now, at, Input::Succeeded, None, Failure::Connect)
             }
             TryEnd::Failed(failure) => self.failed(now, at, failure, false),
+            TryEnd::Cut(failure) => {
+                self.invocations[at as usize].answering = true;
+                self.failed(now, at, failure, false)
+            }
+        }
+    }
+
+    /// The answer of a try begins to go to the client: from here on it is this try or none, and it is
+    /// waited for as long as the client waits.
+    pub fn answer_began(&mut self, id: InvocationId, number: u32) {
+        let Some(at) = self.place(id) else { return };
+        let invocation = &mut self.invocations[at as usize];
+        if invocation.tries == number && invocation.node.is_some() {
+            self.timers.remove(&(invocation.until, at));
+            (invocation.answering, invocation.until) = (true, invocation.deadline);
+            self.timers.insert((invocation.until, at));
         }
     }
 
@@ -388,6 +408,7 @@
         let (tries, first_may_have_run) = (invocation.tries, invocation.first_may_have_run);
         let past = Past { tries, proof: invocation.proof, first_may_have_run };
         let allowed = now < invocation.deadline
+            && !invocation.answering
             && !of.admission.shut()
             && may_repeat(of.retry, of.rules.guard, past, proof, invocation.deadline);
         let tried = invocation.tried.clone();
--- a/crates/proxy-core/src/tests.rs
+++ b/crates/proxy-core/src/tests.rs
@@ -168,6 +168,21 @@
     assert_eq!(sent(core.arrive(at(0.1), QUOTE)).1.node, sends[0].1.node);
 }
 
+#[test]
+fn an_answer_that_has_begun_is_followed_by_no_other_try() {
+    let mut core = core(&[1, 2], Retry::TwiceAfterAnyFailure);
+    let (id, send) = sent(core.arrive(at(0.0), QUOTE));
+    assert_eq!(send.until, at(1.0));
+    core.answer_began(id, 1);
+    assert_eq!(core.due(at(2.0)), [], "it is waited for");
+    let end = core.ended(at(3.0), id, 1, TryEnd::Cut(Failure::Reset));
+    assert_eq!(end.step, Move::Answer(Answer::Failed(Failure::Reset)));
+    let (id, _) = sent(core.arrive(at(3.0), QUOTE));
+    core.answer_began(id, 1);
+    let late = core.due(at(7.0));
+    assert_eq!(late[0].step, Move::AnswerInstead(Answer::Failed(Failure::TimedOut)));
+}
+
 #[test]
 fn repeats_and_what_was_turned_away_are_told() {
     let mut core = core(&[1, 2], Retry::OnceAfterAnyFailure);
--- a/crates/session/src/session.rs
+++ b/crates/session/src/session.rs
@@ -461,6 +461,7 @@
         mut touched: BTreeSet<ProxyId>,
         marks: Vec<(wheelspread::ids::MarkId, bool)>,
     ) {
+        let anew = touched.clone();
         let nodes = &self.nodes;
         let zone = |node: NodeId| nodes.record(node).map_or(String::new(), |record| record.zone.clone());
         let published: BTreeSet<BundleId> = self.book.publish(zone).into_iter().collect();
@@ -478,7 +479,8 @@
             }
         }
         for proxy in &touched {
-            self.offer(now, *proxy);
+            // Whoever was bound anew waits for a swap, though it should be of what lies there already.
+            self.offer(now, *proxy, anew.contains(proxy));
         }
         let joined = |id: &ProxyId| {
             self.members
@@ -506,13 +508,14 @@
         self.full = full;
     }
 
-    /// Puts the newest tables of a proxy into its channel, unless it was pointed at them already.
-    fn offer(&mut self, now: Moment, proxy: ProxyId) {
+    /// Puts the newest tables of a proxy into its channel, unless it was pointed at them already and does
+    /// not start `anew`.
+    fn offer(&mut self, now: Moment, proxy: ProxyId, anew: bool) {
         let Some(newest) = self.book.bundle_of(proxy).and_then(|bundle| self.book.newest(bundle)) else {
             return;
         };
         let held = self.sent.get(&proxy).or(self.pointed.get(&proxy));
-        if held.is_some_and(|held| held.version == newest.version) {
+        if !anew && held.is_some_and(|held| held.version == newest.version) {
             return;
         }
         let joined = self.members.name(proxy).and_then(|name| self.members.member(name));
