--- a/crates/files/src/swap.rs
+++ b/crates/files/src/swap.rs
@@ -114,16 +114,27 @@
     std::os::unix::fs::symlink(Path::new("../../versions").join(name(version)), link)
 }
 
-/// Swaps a single file in, as a proxy does with its status and an operator with a list.
+/// Swaps a single file in, as an operator does with a list.
 pub fn replace(path: &Path, text: &str) -> io::Result<()> {
-    let (Some(directory), Some(file)) = (path.parent(), path.file_name()) else {
-        return Err(io::Error::new(io::ErrorKind::InvalidInput, "a file in a directory is expected"));
-    };
-    let draft = directory.join(format!("{DRAFT}{}", file.to_string_lossy()));
+    let draft = draft_of(path)?;
     write(&draft, text)?;
     fs::rename(&draft, path)
 }
 
+/// The same for what need not outlive the machine, as a proxy's status: it does not wait for the disk.
+pub fn place(path: &Path, text: &str) -> io::Result<()> {
+    let draft = draft_of(path)?;
+    fs::write(&draft, text)?;
+    fs::rename(&draft, path)
+}
+
+fn draft_of(path: &Path) -> io::Result<PathBuf> {
+    match (path.parent(), path.file_name()) {
+        (Some(directory), Some(file)) => Ok(directory.join(format!("{DRAFT}{}", file.to_string_lossy()))),
+        _ => Err(io::Error::new(io::ErrorKind::InvalidInput, "a file in a directory is expected")),
+    }
+}
+
 /// What an operator can act on.
 fn plain(error: &io::Error) -> String {
     match error.raw_os_error().map(Errno::from_raw_os_error) {
--- /dev/null
+++ b/crates/proxy/src/client.rs
@@ -0,0 +1,143 @@
+//! One client's connection: requests in, one at a time, answers out.
+
+use std::io::{ErrorKind, Read, Write};
+use std::net::TcpStream;
+use std::rc::Rc;
+use wheelspread::time::Moment;
+use wheelspread_http1::{Body, Request};
+use wheelspread_proxy_core::InvocationId;
+
+/// Read ahead of a request that is under way: no more than this.
+pub const AHEAD: usize = 64 << 10;
+/// Answers that the client has not taken yet: while more wait, nodes are not read from.
+pub const BEHIND: usize = 256 << 10;
+
+pub enum Stage {
+    Head,
+    Body {
+        head: Request,
+        body: Body,
+        taken: usize,
+    },
+    /// An invocation is under way.
+    Waiting,
+    /// Nothing more is taken from this client; what is left goes out.
+    Ending,
+}
+
+/// The invocation that a client waits for.
+pub struct Under {
+    pub invocation: InvocationId,
+    pub id: String,
+    pub request: Rc<Vec<u8>>,
+    pub node: Option<usize>,
+    pub is_head: bool,
+    pub keep_alive: bool,
+    /// Its answer has begun to go out.
+    pub began: bool,
+}
+
+pub struct Client {
+    pub socket: TcpStream,
+    pub input: Vec<u8>,
+    output: Vec<u8>,
+    sent: usize,
+    pub stage: Stage,
+    pub under: Option<Under>,
+    /// The client sends no more; it may still read.
+    pub ended: bool,
+    pub since: Moment,
+    /// There may be more to read than was taken.
+    more: bool,
+}
+
+/// What became of a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Line {
+    Up,
+    Lost,
+}
+
+impl Client {
+    pub fn new(now: Moment, socket: TcpStream) -> Client {
+        Client {
+            socket,
+            input: Vec::new(),
+            output: Vec::new(),
+            sent: 0,
+            stage: Stage::Head,
+            under: None,
+            ended: false,
+            since: now,
+            more: true,
+        }
+    }
+
+    /// Takes what has come, as far as it may be held.
+    pub fn read(&mut self, now: Moment, most: usize, readable: bool) -> Line {
+        self.more |= readable;
+        let mut piece = [0u8; 16 << 10];
+        while self.more && !self.ended && self.input.len() < most {
+            match self.socket.read(&mut piece) {
+                Ok(0) => self.ended = true,
+                Ok(count) => {
+                    self.input.extend_from_slice(&piece[..count]);
+                    self.since = now;
+                }
+                Err(error) if error.kind() == ErrorKind::WouldBlock => self.more = false,
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(_) => return Line::Lost,
+            }
+        }
+        Line::Up
+    }
+
+    pub fn queue(&mut self, bytes: &[u8]) {
+        self.output.extend_from_slice(bytes);
+    }
+
+    pub fn output(&mut self) -> &mut Vec<u8> {
+        &mut self.output
+    }
+
+    /// Bytes that wait to be taken.
+    pub fn behind(&self) -> usize {
+        self.output.len() - self.sent
+    }
+
+    pub fn write(&mut self, now: Moment) -> Line {
+        while self.behind() > 0 {
+            match self.socket.write(&self.output[self.sent..]) {
+                Ok(0) => return Line::Lost,
+                Ok(count) => {
+                    self.sent += count;
+                    self.since = now;
+                }
+                Err(error) if error.kind() == ErrorKind::WouldBlock => break,
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(_) => return Line::Lost,
+            }
+        }
+        if self.behind() == 0 {
+            self.output.clear();
+            self.sent = 0;
+            // A connection that idles holds no buffer.
+            if self.output.capacity() > AHEAD || matches!(self.stage, Stage::Head) && self.input.is_empty() {
+                self.output = Vec::new();
+            }
+        } else if self.sent > BEHIND {
+            self.output.drain(..self.sent);
+            self.sent = 0;
+        }
+        Line::Up
+    }
+
+    /// Lets go of what was read of a request.
+    pub fn consume(&mut self, count: usize) {
+        if count >= self.input.len() {
+            self.input = Vec::new();
+        } else {
+            self.input.drain(..count);
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/file.rs
@@ -0,0 +1,280 @@
+//! What a proxy is told by its YAML file.
+
+use serde::Deserialize;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::path::{Path, PathBuf};
+use wheelspread::time::Span;
+use wheelspread_proxy_core::{CorePlan, Guard, OperationRules, Picking};
+use wheelspread_session::deployment::Repeat;
+use wheelspread_session::spans;
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Place {
+    name: String,
+    zone: String,
+    listen: SocketAddrV4,
+    /// The address that it calls nodes and conductors from.
+    #[serde(default)]
+    source: Option<Ipv4Addr>,
+    #[serde(default)]
+    usual_rate: Option<f64>,
+    #[serde(default)]
+    seed: u64,
+}
+
+/// One conductor: where it takes sums, and the root of its files.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ConductorSide {
+    pub reports: SocketAddrV4,
+    pub tables: PathBuf,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Operation {
+    name: String,
+    #[serde(with = "spans")]
+    integration_timeout: Span,
+    repeat: Repeat,
+    #[serde(default = "none", with = "spans")]
+    repeat_window: Span,
+}
+
+fn none() -> Span {
+    Span::ZERO
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+enum Pick {
+    Lottery,
+    Wheel,
+    Pair,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct Avoid {
+    /// Failures in a row of its own tries at a node; 0: it avoids none.
+    after_errors: u32,
+    #[serde(with = "spans")]
+    span: Span,
+}
+
+impl Default for Avoid {
+    fn default() -> Self {
+        Avoid { after_errors: 3, span: Span::from_seconds(5.0) }
+    }
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct Repeats {
+    /// Of first tries.
+    part: f64,
+    at_once: f64,
+}
+
+impl Default for Repeats {
+    fn default() -> Self {
+        Repeats { part: 0.2, at_once: 10.0 }
+    }
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct Sizes {
+    /// Bytes.
+    head: usize,
+    body: usize,
+    connections: usize,
+    connections_per_node: usize,
+    outstanding_per_node: u32,
+}
+
+impl Default for Sizes {
+    fn default() -> Self {
+        Sizes {
+            head: 16 << 10,
+            body: 1 << 20,
+            connections: 20_000,
+            connections_per_node: 256,
+            outstanding_per_node: 0,
+        }
+    }
+}
+
+/// How long the proxy waits for what.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Waits {
+    /// For a connection to a node.
+    #[serde(with = "spans")]
+    pub connect: Span,
+    /// For the rest of a request that has begun.
+    #[serde(with = "spans")]
+    pub request: Span,
+    /// For a client's next request.
+    #[serde(with = "spans")]
+    pub client_idle: Span,
+    /// Before a connection to a node that nobody uses is closed.
+    #[serde(with = "spans")]
+    pub node_idle: Span,
+    /// Between two attempts to reach a conductor.
+    #[serde(with = "spans")]
+    pub redial: Span,
+}
+
+impl Default for Waits {
+    fn default() -> Self {
+        let seconds = Span::from_seconds;
+        Waits {
+            connect: seconds(0.3),
+            request: seconds(10.0),
+            client_idle: seconds(60.0),
+            node_idle: seconds(15.0),
+            redial: seconds(1.0),
+        }
+    }
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ProxyFile {
+    proxy: Place,
+    conductors: Vec<ConductorSide>,
+    operations: Vec<Operation>,
+    #[serde(default = "lottery")]
+    pick: Pick,
+    #[serde(default)]
+    avoid: Avoid,
+    #[serde(default)]
+    repeats: Repeats,
+    #[serde(default)]
+    sizes: Sizes,
+    #[serde(default)]
+    waits: Waits,
+    /// Whether it tells conductors which version it holds.
+    #[serde(default = "yes")]
+    publishes_status: bool,
+}
+
+fn lottery() -> Pick {
+    Pick::Lottery
+}
+
+fn yes() -> bool {
+    true
+}
+
+#[derive(Debug, thiserror::Error)]
+pub enum BadFile {
+    #[error("{path}: {source}", path = .path.display())]
+    Unreadable { path: PathBuf, source: std::io::Error },
+    #[error("{path}: {text}", path = .path.display())]
+    Content { path: PathBuf, text: String },
+}
+
+/// A proxy as it is run.
+#[derive(Clone, Debug)]
+pub struct ProxyPlan {
+    pub name: String,
+    pub zone: String,
+    pub listen: SocketAddrV4,
+    pub source: Option<Ipv4Addr>,
+    pub usual_rate: Option<f64>,
+    pub seed: u64,
+    pub conductors: Vec<ConductorSide>,
+    pub core: CorePlan,
+    pub head: usize,
+    pub body: usize,
+    pub connections: usize,
+    pub connections_per_node: usize,
+    pub waits: Waits,
+    pub publishes_status: bool,
+}
+
+impl ProxyFile {
+    pub fn read(path: &Path) -> Result<ProxyPlan, BadFile> {
+        let text = std::fs::read_to_string(path)
+            .map_err(|source| BadFile::Unreadable { path: path.to_path_buf(), source })?;
+        ProxyFile::parse(&text, path)
+    }
+
+    pub fn parse(text: &str, path: &Path) -> Result<ProxyPlan, BadFile> {
+        let content = |text: String| BadFile::Content { path: path.to_path_buf(), text };
+        let file: ProxyFile = serde_yaml_ng::from_str(text).map_err(|error| content(error.to_string()))?;
+        let base = path.parent().unwrap_or(Path::new("."));
+        file.plan(base).map_err(content)
+    }
+
+    fn plan(self, base: &Path) -> Result<ProxyPlan, String> {
+        let fine = |c: char| c.is_ascii_alphanumeric() || c == '-' || c == '_';
+        let name = &self.proxy.name;
+        if name.is_empty() || name.len() > 100 || !name.chars().all(fine) {
+            return Err(format!("proxy.name: `{name}` should be 1 to 100 letters, digits, - and _"));
+        }
+        if self.conductors.is_empty() {
+            return Err("conductors: one at least is needed".to_string());
+        }
+        if self.operations.is_empty() || self.operations.len() > 16 {
+            return Err(format!("operations: {}, between 1 and 16 are possible", self.operations.len()));
+        }
+        if !(0.0..=10.0).contains(&self.repeats.part) || !(0.0..=1e6).contains(&self.repeats.at_once) {
+            return Err("repeats: part should lie between 0 and 10, at_once between 0 and 1e6".to_string());
+        }
+        let sizes = &self.sizes;
+        if sizes.head < 256 || sizes.connections == 0 || sizes.connections_per_node == 0 {
+            return Err("sizes: head should be 256 at least, numbers of connections above 0".to_string());
+        }
+        let mut operations = Vec::new();
+        for (at, operation) in self.operations.iter().enumerate() {
+            if operation.integration_timeout <= Span::ZERO {
+                return Err(format!("operations.{at}.integration_timeout: should be above 0"));
+            }
+            if self.operations[..at].iter().any(|other| other.name == operation.name) {
+                return Err(format!("operations.{at}.name: `{}` is named twice", operation.name));
+            }
+            let guard = match operation.repeat {
+                Repeat::Idempotent => Guard::Idempotent,
+                Repeat::Fingerprinted => Guard::Fingerprinted { window: operation.repeat_window },
+                Repeat::SideEffecting => Guard::SideEffecting,
+            };
+            operations.push(OperationRules {
+                name: operation.name.clone(),
+                guard,
+                integration_timeout: operation.integration_timeout,
+            });
+        }
+        let side = |side: ConductorSide| ConductorSide { tables: base.join(side.tables), ..side };
+        Ok(ProxyPlan {
+            name: self.proxy.name,
+            zone: self.proxy.zone,
+            listen: self.proxy.listen,
+            source: self.proxy.source,
+            usual_rate: self.proxy.usual_rate,
+            seed: self.proxy.seed,
+            conductors: self.conductors.into_iter().map(side).collect(),
+            core: CorePlan {
+                operations,
+                picking: match self.pick {
+                    Pick::Lottery => Picking::Lottery,
+                    Pick::Wheel => Picking::Wheel,
+                    Pick::Pair => Picking::Pair,
+                },
+                errors_until_avoided: self.avoid.after_errors,
+                avoided_for: self.avoid.span,
+                repeats: (self.repeats.part, self.repeats.at_once),
+                outstanding_at_most: self.sizes.outstanding_per_node,
+            },
+            head: self.sizes.head,
+            body: self.sizes.body,
+            connections: self.sizes.connections,
+            connections_per_node: self.sizes.connections_per_node,
+            waits: self.waits,
+            publishes_status: self.publishes_status,
+        })
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/node.rs
@@ -0,0 +1,125 @@
+//! One connection to a node: idle in the pool, or with one try on it.
+
+use crate::client::Line;
+use std::io::{ErrorKind, Read, Write};
+use std::net::TcpStream;
+use std::rc::Rc;
+use wheelspread::ids::NodeId;
+use wheelspread::time::Moment;
+use wheelspread_http1::{Body, Response};
+use wheelspread_proxy_core::{Failure, InvocationId};
+
+/// The try that a connection carries.
+pub struct Trial {
+    pub client: usize,
+    pub invocation: InvocationId,
+    pub number: u32,
+}
+
+pub struct Reply {
+    pub head: Response,
+    pub body: Body,
+    pub loads: Vec<(String, f64)>,
+    /// The core knows of the try's end already: what comes is only passed on.
+    pub told: bool,
+}
+
+pub struct NodeLine {
+    pub socket: TcpStream,
+    pub node: NodeId,
+    pub trial: Option<Trial>,
+    request: Rc<Vec<u8>>,
+    sent: usize,
+    pub input: Vec<u8>,
+    pub reply: Option<Reply>,
+    /// It has carried a try before, or at least stands.
+    pub stood: bool,
+    reused: bool,
+    pub since: Moment,
+    pub ended: bool,
+    more: bool,
+}
+
+impl NodeLine {
+    pub fn new(now: Moment, socket: TcpStream, node: NodeId) -> NodeLine {
+        NodeLine {
+            socket,
+            node,
+            trial: None,
+            request: Rc::new(Vec::new()),
+            sent: 0,
+            input: Vec::new(),
+            reply: None,
+            stood: false,
+            reused: false,
+            since: now,
+            ended: false,
+            more: true,
+        }
+    }
+
+    pub fn carry(&mut self, now: Moment, trial: Trial, request: Rc<Vec<u8>>) {
+        (self.trial, self.request, self.sent, self.reply) = (Some(trial), request, 0, None);
+        (self.reused, self.since) = (self.stood, now);
+    }
+
+    pub fn write(&mut self) -> Line {
+        while self.trial.is_some() && self.sent < self.request.len() {
+            match self.socket.write(&self.request[self.sent..]) {
+                Ok(0) => return Line::Lost,
+                Ok(count) => {
+                    self.sent += count;
+                    self.stood = true;
+                }
+                Err(error) if error.kind() == ErrorKind::WouldBlock => break,
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                // A connect that is under way says so in several ways.
+                Err(error) if error.kind() == ErrorKind::NotConnected && !self.stood => break,
+                Err(_) => return Line::Lost,
+            }
+        }
+        Line::Up
+    }
+
+    /// Takes what has come, while not more than `most` is held.
+    pub fn read(&mut self, most: usize, readable: bool) -> Line {
+        self.more |= readable;
+        let mut piece = [0u8; 16 << 10];
+        while self.more && !self.ended && self.input.len() < most {
+            match self.socket.read(&mut piece) {
+                Ok(0) => self.ended = true,
+                Ok(count) => self.input.extend_from_slice(&piece[..count]),
+                Err(error) if error.kind() == ErrorKind::WouldBlock => self.more = false,
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error) if error.kind() == ErrorKind::NotConnected && !self.stood => self.more = false,
+                Err(_) => return Line::Lost,
+            }
+        }
+        Line::Up
+    }
+
+    /// There is more of an answer than was taken.
+    pub fn held_back(&self) -> bool {
+        self.reply.is_some() && self.trial.is_some() && (self.more || !self.input.is_empty())
+    }
+
+    /// What a connection that ended without an answer says of the try on it.
+    pub fn failure(&self) -> Failure {
+        match (self.sent, self.reused) {
+            (0, false) => Failure::Connect,
+            (0, true) => Failure::Unsent,
+            _ => Failure::Reset,
+        }
+    }
+
+    /// The whole request went out and the whole answer came: another may follow on it.
+    pub fn reusable(&self) -> bool {
+        let whole = self.reply.as_ref().is_some_and(|reply| reply.head.keep_alive && reply.body.done());
+        whole && self.sent == self.request.len() && self.input.is_empty() && !self.ended
+    }
+
+    pub fn rest(&mut self, now: Moment) {
+        (self.trial, self.reply, self.request) = (None, None, Rc::new(Vec::new()));
+        (self.input, self.since) = (Vec::new(), now);
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/reports.rs
@@ -0,0 +1,151 @@
+//! The stream of sums: dialled, lost, dialled again, at the next conductor if one does not answer.
+
+use prost::Message;
+use std::net::{Ipv4Addr, SocketAddrV4, TcpStream};
+use wheelspread::pcg::Pcg;
+use wheelspread::time::{Moment, Span};
+use wheelspread_grpc::{ClientConnection, ClientEvent, Limits};
+use wheelspread_reactor::{self as reactor, Interest, Poll, Token};
+use wheelspread_session::membership::Introduction;
+use wheelspread_session::sums::{NodeReport, Report};
+use wheelspread_xds::loads;
+
+enum State {
+    Waiting { until: Moment },
+    Dialling(Box<ClientConnection>),
+    Joined { connection: Box<ClientConnection>, period: Span, next: Moment },
+}
+
+pub struct Reports {
+    who: Introduction,
+    sides: Vec<SocketAddrV4>,
+    source: Option<Ipv4Addr>,
+    state: State,
+    side: usize,
+    failures: u32,
+    redial: Span,
+    chance: Pcg,
+    token: Token,
+}
+
+pub enum Told {
+    Joined { conductor: usize },
+    Left { reason: String },
+}
+
+/// After so many attempts that came to nothing the next conductor is tried.
+const ATTEMPTS: u32 = 2;
+
+impl Reports {
+    pub fn new(
+        now: Moment,
+        who: Introduction,
+        sides: Vec<SocketAddrV4>,
+        source: Option<Ipv4Addr>,
+        redial: Span,
+        seed: u64,
+        token: Token,
+    ) -> Reports {
+        let state = State::Waiting { until: now };
+        let chance = Pcg::new(seed);
+        Reports { who, sides, source, state, side: 0, failures: 0, redial, chance, token }
+    }
+
+    pub fn joined(&self) -> bool {
+        matches!(self.state, State::Joined { .. })
+    }
+
+    /// Reads, writes, dials. `report` is asked for sums when they are due.
+    pub fn turn(&mut self, poll: &Poll, now: Moment, report: impl FnOnce() -> Option<Report>) -> Vec<Told> {
+        if let State::Waiting { until } = self.state {
+            if now >= until {
+                self.dial(poll, now);
+            }
+        }
+        let mut told = Vec::new();
+        let (events, mut over) = match &mut self.state {
+            State::Waiting { .. } => return told,
+            State::Dialling(connection) | State::Joined { connection, .. } => connection.turn(now),
+        };
+        for event in events {
+            match event {
+                ClientEvent::Opened => {
+                    let hello = loads::introduce(&self.who).encode_to_vec();
+                    if let State::Dialling(connection) = &mut self.state {
+                        connection.send(&hello);
+                        over = over.or(connection.turn(now).1);
+                    }
+                }
+                ClientEvent::Message { bytes } => match loads::decode_response(&bytes) {
+                    Ok(period) if period > Span::ZERO => self.accepted(now, period, &mut told),
+                    Ok(_) => over = Some("a period of nothing".to_string()),
+                    Err(error) => over = Some(error.to_string()),
+                },
+            }
+        }
+        if let State::Joined { connection, period, next } = &mut self.state {
+            if now >= *next && over.is_none() {
+                *next = (*next + *period).max(now + *period * 0.5);
+                let request =
+                    report().map(|report| loads::request(&report, |_: &NodeReport| self.who.zone.clone()));
+                if let Some(request) = request {
+                    if !connection.send(&request.encode_to_vec()) {
+                        over = Some("sums are not taken".to_string());
+                    }
+                    over = over.or(connection.turn(now).1);
+                }
+            }
+        }
+        if let Some(reason) = over {
+            self.lost(now, reason, &mut told);
+        }
+        told
+    }
+
+    fn accepted(&mut self, now: Moment, period: Span, told: &mut Vec<Told>) {
+        self.state = match std::mem::replace(&mut self.state, State::Waiting { until: now }) {
+            State::Dialling(connection) => {
+                self.failures = 0;
+                told.push(Told::Joined { conductor: self.side });
+                State::Joined { connection, period, next: now + period }
+            }
+            State::Joined { connection, next, .. } => State::Joined { connection, period, next },
+            waiting => waiting,
+        };
+    }
+
+    /// Breaks the stream, as when the network does.
+    pub fn lost(&mut self, now: Moment, reason: String, told: &mut Vec<Told>) {
+        if self.joined() {
+            told.push(Told::Left { reason });
+        }
+        self.failures += 1;
+        if self.failures >= ATTEMPTS {
+            (self.side, self.failures) = ((self.side + 1) % self.sides.len(), 0);
+        }
+        // Those that lost their streams together don't all come back at once.
+        self.state = State::Waiting { until: now + self.redial * (0.5 + self.chance.unit()) };
+    }
+
+    fn dial(&mut self, poll: &Poll, now: Moment) {
+        let side = self.sides[self.side];
+        let socket = reactor::connect_from(self.source, side.ip().octets(), side.port());
+        let dialled = socket.and_then(|socket: TcpStream| {
+            poll.add(&socket, self.token, Interest::Edges)?;
+            Ok(ClientConnection::new(now, socket, loads::METHOD, Limits::default()))
+        });
+        match dialled {
+            Ok(connection) => self.state = State::Dialling(Box::new(connection)),
+            Err(error) => self.lost(now, error.to_string(), &mut Vec::new()),
+        }
+    }
+
+    pub fn wake_at(&self, now: Moment) -> Moment {
+        match &self.state {
+            State::Waiting { until } => *until,
+            State::Dialling(_) => now + Span::from_seconds(0.5),
+            // Pings are looked after as well.
+            State::Joined { next, .. } => (*next).min(now + Span::from_seconds(0.5)),
+        }
+    }
+}
--- a/crates/reactor/src/lib.rs
+++ b/crates/reactor/src/lib.rs
@@ -196,9 +196,17 @@
 
 /// Begins to connect; the socket becomes writable when it is through, or closed when it failed.
 pub fn connect(address: [u8; 4], port: u16) -> io::Result<TcpStream> {
+    connect_from(None, address, port)
+}
+
+/// The same from an address of one's own.
+pub fn connect_from(source: Option<Ipv4Addr>, address: [u8; 4], port: u16) -> io::Result<TcpStream> {
     use rustix::net::{AddressFamily, SocketFlags, SocketType};
     let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
     let socket = rustix::net::socket_with(AddressFamily::INET, SocketType::STREAM, flags, None)?;
+    if let Some(source) = source {
+        rustix::net::bind(&socket, &SocketAddrV4::new(source, 0))?;
+    }
     match rustix::net::connect(&socket, &SocketAddrV4::new(Ipv4Addr::from(address), port)) {
         Ok(()) | Err(Errno::INPROGRESS) => {}
         Err(error) => return Err(error.into()),
