--- /dev/null
+++ b/crates/cli/src/drill.rs
@@ -0,0 +1,124 @@
+//! `wheelspread drill`.
+
+use clap::{Args, ValueEnum};
+use std::path::PathBuf;
+use std::process::ExitCode;
+use wheelspread_drill::{run, Options, Sabotage, Script, BUILT_IN};
+
+#[derive(Args)]
+pub struct DrillArguments {
+    /// A script; without one, the bad day that the program carries with it.
+    script: Option<PathBuf>,
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Plays the troubles of a day of the operators' bench.
+    #[arg(long, value_name = "DAY.json")]
+    day: Option<PathBuf>,
+    /// Plays it with a plain policy instead of conductors.
+    #[arg(long, value_enum)]
+    baseline: Option<Baseline>,
+    /// Keeps all that was published and a log of each gateway, node and directory.
+    #[arg(long, value_name = "DIR")]
+    keep: Option<PathBuf>,
+    /// Prints one JSON object instead of a table.
+    #[arg(long)]
+    json: bool,
+    /// Breaks a rule on purpose, to see that the audit finds it; with even weights.
+    #[arg(long, value_enum, hide = true)]
+    sabotage: Option<Broken>,
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+enum Baseline {
+    /// Even weights over all listed nodes, written at once.
+    Even,
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+enum Broken {
+    EmptyTable,
+    Repeat,
+    KeepDrained,
+    FloodCold,
+    Overfill,
+}
+
+const RULE_BROKEN: u8 = 1;
+const BAD_SCRIPT: u8 = 2;
+/// The drill could not be played, which says nothing of the rules.
+const NOT_PLAYED: u8 = 3;
+
+fn script(arguments: &DrillArguments) -> Result<(Script, Vec<String>), String> {
+    let script = match &arguments.script {
+        Some(path) => Script::read(path)?,
+        None => Script::parse(BUILT_IN)?,
+    };
+    match &arguments.day {
+        Some(path) => {
+            let text =
+                std::fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))?;
+            script.with_day(&text).map_err(|error| format!("{}: {error}", path.display()))
+        }
+        None => Ok((script, Vec::new())),
+    }
+}
+
+pub fn drill(arguments: DrillArguments) -> ExitCode {
+    let (script, unknown) = match script(&arguments) {
+        Ok(script) => script,
+        Err(error) => {
+            eprintln!("{error}");
+            return ExitCode::from(BAD_SCRIPT);
+        }
+    };
+    let program = match std::env::current_exe() {
+        Ok(program) => program,
+        Err(error) => {
+            eprintln!("this program can't be found: {error}");
+            return ExitCode::from(NOT_PLAYED);
+        }
+    };
+    for kind in &unknown {
+        eprintln!("not injected, as it can't be here: {kind}");
+    }
+    let sabotage = arguments.sabotage.map(|broken| match broken {
+        Broken::EmptyTable => Sabotage::EmptyTable,
+        Broken::Repeat => Sabotage::Repeat,
+        Broken::KeepDrained => Sabotage::KeepDrained,
+        Broken::FloodCold => Sabotage::FloodCold,
+        Broken::Overfill => Sabotage::Overfill,
+    });
+    let mut progress = |text: &str| eprintln!("{text}");
+    let options = Options {
+        program,
+        seed: arguments.seed,
+        even: arguments.baseline.is_some() || sabotage.is_some(),
+        sabotage,
+        keep: arguments.keep.clone(),
+        not_injected: unknown,
+        progress: &mut progress,
+    };
+    let report = match run(&script, options) {
+        Ok(report) => report,
+        Err(error) => {
+            eprintln!("{error}");
+            return ExitCode::from(NOT_PLAYED);
+        }
+    };
+    if arguments.json {
+        match serde_json::to_string(&report) {
+            Ok(text) => println!("{text}"),
+            Err(error) => {
+                eprintln!("{error}");
+                return ExitCode::from(NOT_PLAYED);
+            }
+        }
+    } else {
+        print!("{}", report.table());
+    }
+    if report.verdict.kept() {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::from(RULE_BROKEN)
+    }
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,9 +1,12 @@
 //! The `wheelspread` program: one sub-command for each thing that it does.
 
+mod drill;
+
 use clap::{Parser, Subcommand};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use wheelspread_conductor::{log, Conductor, ConductorFile};
+use wheelspread_conductor::{log, Conductor, ConductorFile, LogPlan};
+use wheelspread_proxy::{serve, ProxyFile, Silent};
 
 /// Directs the traffic of a fleet of plain proxies.
 #[derive(Parser)]
@@ -22,6 +25,13 @@
     },
     /// Says what is wrong with a conductor's file, or that nothing is.
     Check { file: PathBuf },
+    /// Runs a proxy that obeys published tables, until it is told to stop.
+    Proxy {
+        /// What it is told: see docs/proxy.md
+        file: PathBuf,
+    },
+    /// Plays a bad day on loopback and judges the five rules by what went over the sockets.
+    Drill(drill::DrillArguments),
 }
 
 /// A file or a call that can't be carried out.
@@ -31,6 +41,8 @@
     match Cli::parse().command {
         Command::Run { file } => run(&file),
         Command::Check { file } => check(&file),
+        Command::Proxy { file } => proxy(&file),
+        Command::Drill(arguments) => drill::drill(arguments),
     }
 }
 
@@ -80,3 +92,21 @@
         }
     }
 }
+
+fn proxy(path: &Path) -> ExitCode {
+    let plan = match ProxyFile::read(path) {
+        Ok(plan) => plan,
+        Err(error) => {
+            eprintln!("{error}");
+            return ExitCode::from(BAD_INPUT);
+        }
+    };
+    log::start(&LogPlan::default());
+    match serve(plan, Silent) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{}: {error}", path.display());
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/drill/src/clients.rs
@@ -0,0 +1,346 @@
+//! Stand-in clients: invocations that come by chance and don't wait for each other, with a patience of
+//! their own and, where it is safe, another attempt.
+
+use crate::node::gateway_address;
+use crate::records::{ClientOutcome, Record, Recorder};
+use crate::script::Script;
+use slab::Slab;
+use std::collections::BTreeMap;
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::thread::JoinHandle;
+use wheelspread::pcg::Pcg;
+use wheelspread::time::{Moment, Span};
+use wheelspread_http1::{response, Body};
+use wheelspread_reactor::{self as reactor, Interest, Poll, Token, Waker};
+use wheelspread_session::deployment::Repeat;
+
+pub enum ClientOrder {
+    /// Times the usual rate, of all gateways or of some.
+    Rate { gateways: Option<Vec<usize>>, factor: f64 },
+    /// A gateway listens somewhere else, or not at all.
+    At { gateway: usize, address: Option<SocketAddr> },
+    /// No new invocations; ends when those under way are done.
+    Finish,
+}
+
+pub struct Clients {
+    pub orders: Sender<ClientOrder>,
+    waker: Waker,
+    thread: Option<JoinHandle<()>>,
+}
+
+const WAKER: Token = Token(u64::MAX);
+
+impl Clients {
+    pub fn start(
+        script: &Script,
+        rates: Vec<f64>,
+        addresses: Vec<Option<SocketAddr>>,
+        recorder: Recorder,
+        seed: u64,
+    ) -> std::io::Result<Clients> {
+        let poll = Poll::new()?;
+        let waker = Waker::new(&poll, WAKER)?;
+        let (orders, from) = channel();
+        let mut crowd = Crowd {
+            script: script.clone(),
+            recorder,
+            chance: Pcg::new(seed),
+            poll,
+            waker: waker.clone(),
+            orders: from,
+            gateways: rates
+                .iter()
+                .zip(addresses)
+                .map(|(rate, at)| Gateway { at, usual: *rate, factor: 1.0 })
+                .collect(),
+            asked: Slab::new(),
+            idle: BTreeMap::new(),
+            due: BTreeMap::new(),
+            next: 0,
+            finishing: false,
+        };
+        let thread = std::thread::Builder::new().name("clients".to_string()).spawn(move || crowd.run())?;
+        Ok(Clients { orders, waker, thread: Some(thread) })
+    }
+
+    pub fn order(&self, order: ClientOrder) {
+        let _ = self.orders.send(order);
+        self.waker.wake();
+    }
+}
+
+impl Drop for Clients {
+    fn drop(&mut self) {
+        self.order(ClientOrder::Finish);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+struct Gateway {
+    at: Option<SocketAddr>,
+    usual: f64,
+    factor: f64,
+}
+
+#[derive(Clone)]
+struct Wish {
+    gateway: usize,
+    id: String,
+    operation: usize,
+    work: f64,
+    arrived: Moment,
+    attempt: u32,
+}
+
+struct Asked {
+    socket: TcpStream,
+    gateway: usize,
+    wish: Option<Wish>,
+    output: Vec<u8>,
+    input: Vec<u8>,
+    use_number: u64,
+}
+
+enum Due {
+    Arrival { gateway: usize },
+    Again(Wish),
+    Patience { slot: usize, use_number: u64 },
+}
+
+struct Crowd {
+    script: Script,
+    recorder: Recorder,
+    chance: Pcg,
+    poll: Poll,
+    waker: Waker,
+    orders: Receiver<ClientOrder>,
+    gateways: Vec<Gateway>,
+    asked: Slab<Asked>,
+    idle: BTreeMap<usize, Vec<usize>>,
+    due: BTreeMap<(Moment, u64), Due>,
+    next: u64,
+    finishing: bool,
+}
+
+impl Crowd {
+    fn run(&mut self) {
+        let now = reactor::now();
+        (0..self.gateways.len()).for_each(|gateway| self.expect(now, gateway));
+        let mut ready = Vec::new();
+        loop {
+            let now = reactor::now();
+            while let Some(entry) = self.due.first_entry().filter(|entry| entry.key().0 <= now) {
+                match entry.remove() {
+                    Due::Arrival { gateway } => self.arrive(now, gateway),
+                    Due::Again(wish) => self.ask(now, wish),
+                    Due::Patience { slot, use_number } => self.give_up(now, slot, use_number),
+                }
+            }
+            let busy = self.asked.iter().any(|(_, asked)| asked.wish.is_some());
+            let again = self.due.values().any(|due| matches!(due, Due::Again(_)));
+            if self.finishing && !busy && !again {
+                return;
+            }
+            let wait = self.due.first_key_value().map_or(Span::from_seconds(0.5), |(key, _)| key.0 - now);
+            if self.poll.wait(wait, &mut ready).is_err() {
+                return;
+            }
+            let now = reactor::now();
+            for ready in ready.drain(..) {
+                if ready.token == WAKER {
+                    self.waker.rest();
+                    while let Ok(order) = self.orders.try_recv() {
+                        self.obey(order);
+                    }
+                } else {
+                    self.turn(now, ready.token.0 as usize);
+                }
+            }
+        }
+    }
+
+    fn obey(&mut self, order: ClientOrder) {
+        match order {
+            ClientOrder::Rate { gateways, factor } => {
+                for (number, gateway) in self.gateways.iter_mut().enumerate() {
+                    if gateways.as_ref().is_none_or(|some| some.contains(&number)) {
+                        gateway.factor = factor;
+                    }
+                }
+            }
+            ClientOrder::At { gateway, address } => self.gateways[gateway].at = address,
+            ClientOrder::Finish => self.finishing = true,
+        }
+    }
+
+    fn later(&mut self, at: Moment, due: Due) {
+        self.next += 1;
+        self.due.insert((at, self.next), due);
+    }
+
+    fn exponential(&mut self) -> f64 {
+        -(1.0 - self.chance.unit()).ln()
+    }
+
+    fn expect(&mut self, now: Moment, gateway: usize) {
+        let rate = self.gateways[gateway].usual * self.gateways[gateway].factor;
+        let wait = if rate > 0.0 { self.exponential() / rate } else { 0.1 };
+        self.later(now + Span::from_seconds(wait.min(5.0)), Due::Arrival { gateway });
+    }
+
+    fn arrive(&mut self, now: Moment, gateway: usize) {
+        if self.finishing {
+            return;
+        }
+        self.expect(now, gateway);
+        if self.gateways[gateway].usual <= 0.0 {
+            return;
+        }
+        let shares: f64 = self.script.traffic.operations.iter().map(|operation| operation.share).sum();
+        let mut mark = self.chance.unit() * shares;
+        let mut chosen = 0;
+        for (at, operation) in self.script.traffic.operations.iter().enumerate() {
+            chosen = at;
+            mark -= operation.share;
+            if mark < 0.0 {
+                break;
+            }
+        }
+        // Half of the work is fixed, the rest by chance.
+        let mean = self.script.traffic.operations[chosen].work.seconds();
+        let work = mean * (0.5 + 0.5 * self.exponential().min(6.0));
+        self.next += 1;
+        let id = format!("{:x}-{:x}", self.next, self.chance.draw());
+        self.ask(now, Wish { gateway, id, operation: chosen, work, arrived: now, attempt: 0 });
+    }
+
+    fn plan(&self, wish: &Wish) -> &wheelspread_session::deployment::OperationPlan {
+        let name = &self.script.traffic.operations[wish.operation].name;
+        let plans = &self.script.deployment.operations;
+        plans.iter().find(|plan| plan.name == *name).unwrap_or(&plans[0])
+    }
+
+    fn ask(&mut self, now: Moment, wish: Wish) {
+        let deadline = wish.arrived + self.plan(&wish).integration_timeout;
+        let name = &self.script.traffic.operations[wish.operation].name;
+        // Attempts of the client's own are invocations of their own: only the proxy repeats one.
+        let output = format!(
+            "POST /{name} HTTP/1.1\r\nHost: drill\r\nx-request-id: {}.{}\r\nx-work: {:.5}\r\nContent-Length: 0\r\n\r\n",
+            wish.id, wish.attempt, wish.work
+        );
+        let gateway = wish.gateway;
+        let Some(slot) = self.line(gateway) else {
+            return self.end(now, wish, ClientOutcome::Errored, false);
+        };
+        self.next += 1;
+        let use_number = self.next;
+        let asked = &mut self.asked[slot];
+        (asked.wish, asked.output, asked.use_number) = (Some(wish), output.into_bytes(), use_number);
+        self.later(deadline, Due::Patience { slot, use_number });
+        self.turn(now, slot);
+    }
+
+    fn line(&mut self, gateway: usize) -> Option<usize> {
+        let address = self.gateways[gateway].at?;
+        while let Some(slot) = self.idle.get_mut(&gateway).and_then(Vec::pop) {
+            let here = self.asked.get(slot).and_then(|asked| asked.socket.peer_addr().ok()) == Some(address);
+            if here {
+                return Some(slot);
+            }
+            self.asked.try_remove(slot);
+        }
+        let SocketAddr::V4(v4) = address else { return None };
+        let source = gateway_address(200, gateway);
+        let socket = reactor::connect_from(Some(source), v4.ip().octets(), v4.port()).ok()?;
+        let asked =
+            Asked { socket, gateway, wish: None, output: Vec::new(), input: Vec::new(), use_number: 0 };
+        let slot = self.asked.insert(asked);
+        self.poll.add(&self.asked[slot].socket, Token(slot as u64), Interest::Edges).ok()?;
+        Some(slot)
+    }
+
+    fn turn(&mut self, now: Moment, slot: usize) {
+        let Some(asked) = self.asked.get_mut(slot) else { return };
+        while !asked.output.is_empty() {
+            match asked.socket.write(&asked.output) {
+                Ok(count) if count > 0 => drop(asked.output.drain(..count)),
+                _ => break,
+            }
+        }
+        let mut piece = [0u8; 4096];
+        let over = loop {
+            match asked.socket.read(&mut piece) {
+                Ok(0) => break true,
+                Ok(count) => asked.input.extend_from_slice(&piece[..count]),
+                Err(error) if error.kind() == ErrorKind::WouldBlock => break false,
+                Err(error) if error.kind() == ErrorKind::NotConnected => break false,
+                Err(_) => break true,
+            }
+        };
+        let status = match response(&asked.input, false, Default::default()) {
+            Ok(Some(head)) => {
+                let mut body = Body::new(head.framing);
+                let taken = body.take(&asked.input[head.length..]).unwrap_or(0);
+                body.done().then_some((head.status, head.length + taken, head.keep_alive))
+            }
+            _ => None,
+        };
+        match (status, over) {
+            (Some((status, length, keep_alive)), _) => {
+                asked.input.drain(..length);
+                let wish = asked.wish.take();
+                if keep_alive && !over {
+                    let gateway = asked.gateway;
+                    self.idle.entry(gateway).or_default().push(slot);
+                } else {
+                    self.asked.remove(slot);
+                }
+                let outcome = match status {
+                    200..=299 => ClientOutcome::Succeeded,
+                    429 => ClientOutcome::RateLimited,
+                    _ => ClientOutcome::Errored,
+                };
+                // The proxy said itself that it sent nothing.
+                let unsent = matches!(status, 429 | 503);
+                wish.into_iter().for_each(|wish| self.end(now, wish, outcome, unsent));
+            }
+            (None, true) => {
+                let asked = self.asked.remove(slot);
+                asked.wish.into_iter().for_each(|wish| self.end(now, wish, ClientOutcome::Errored, false));
+            }
+            (None, false) => {}
+        }
+    }
+
+    fn give_up(&mut self, now: Moment, slot: usize, use_number: u64) {
+        let waits =
+            self.asked.get(slot).is_some_and(|asked| asked.use_number == use_number && asked.wish.is_some());
+        if waits {
+            let asked = self.asked.remove(slot);
+            asked.wish.into_iter().for_each(|wish| self.end(now, wish, ClientOutcome::GivenUp, false));
+        }
+    }
+
+    fn end(&mut self, now: Moment, wish: Wish, outcome: ClientOutcome, unsent: bool) {
+        let plan = self.plan(&wish);
+        let (deadline, repeat) = (wish.arrived + plan.integration_timeout, plan.repeat);
+        let safe = unsent || repeat == Repeat::Idempotent;
+        let may = wish.attempt < self.script.traffic.retries && safe;
+        let wait = Span::from_seconds(0.1 + 0.2 * self.chance.unit());
+        if matches!(outcome, ClientOutcome::RateLimited | ClientOutcome::Errored)
+            && may
+            && now + wait < deadline
+        {
+            return self.later(now + wait, Due::Again(Wish { attempt: wish.attempt + 1, ..wish }));
+        }
+        let operation = self.script.traffic.operations[wish.operation].name.clone();
+        let (gateway, id, attempt) = (wish.gateway, wish.id, wish.attempt);
+        let latency = (now - wish.arrived).seconds();
+        self.recorder.note(now, Record::Done { gateway, id, operation, attempt, latency, outcome });
+    }
+}
--- /dev/null
+++ b/crates/drill/src/even.rs
@@ -0,0 +1,94 @@
+//! The baseline: even weights over the listed nodes, written at once whenever the list changes. It also
+//! breaks a rule on purpose, so that the audit can be seen to find it.
+
+use crate::gateways::name;
+use crate::script::Script;
+use std::net::SocketAddrV4;
+use wheelspread::ids::{NodeId, OperationId, TableId};
+use wheelspread::interface::Retry;
+use wheelspread_files::swap::Swap;
+use wheelspread_files::Root;
+use wheelspread_session::book::{BundleId, Line, OperationTable, TableSet, Version};
+use wheelspread_xds::tables;
+
+/// Which rule is broken on purpose.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sabotage {
+    /// One gateway is given a table without lines.
+    EmptyTable,
+    /// What has effects is repeated after any failure.
+    Repeat,
+    /// Drained nodes stay in the tables.
+    KeepDrained,
+    /// A node that just started gets everything.
+    FloodCold,
+    /// Tables are swapped again and again.
+    Overfill,
+}
+
+/// What the list says of a node.
+#[derive(Clone, Debug)]
+pub struct ListedNode {
+    pub address: SocketAddrV4,
+    pub zone: usize,
+    pub draining: bool,
+    pub cold: bool,
+}
+
+pub struct Even {
+    root: Root,
+    version: u64,
+    pub sabotage: Option<Sabotage>,
+    /// Nodes that were listed once, for who keeps them.
+    kept: Vec<ListedNode>,
+}
+
+impl Even {
+    pub fn new(root: Root, sabotage: Option<Sabotage>) -> Even {
+        Even { root, version: 0, sabotage, kept: Vec::new() }
+    }
+
+    pub fn publish(&mut self, script: &Script, listed: &[ListedNode], zones: &[usize]) -> Result<(), String> {
+        let keep = self.sabotage == Some(Sabotage::KeepDrained);
+        if keep {
+            let new = listed.iter().filter(|node| self.kept.iter().all(|kept| kept.address != node.address));
+            self.kept.extend(new.cloned().collect::<Vec<_>>());
+        }
+        let nodes: Vec<&ListedNode> = match keep {
+            true => self.kept.iter().collect(),
+            false => listed.iter().filter(|node| !node.draining).collect(),
+        };
+        let flood = self.sabotage == Some(Sabotage::FloodCold) && nodes.iter().any(|node| node.cold);
+        for (gateway, zone) in zones.iter().enumerate() {
+            self.version += 1;
+            let empty = self.sabotage == Some(Sabotage::EmptyTable)
+                && gateway == 0
+                && self.version > zones.len() as u64;
+            let table = |(at, operation): (usize, &wheelspread_session::deployment::OperationPlan)| {
+                let open = nodes.iter().filter(|node| !operation.stays_in_zone || node.zone == *zone);
+                let open = open.filter(|node| (!flood || node.cold || operation.stays_in_zone) && !empty);
+                let line = |node: &&ListedNode| Line {
+                    node: NodeId { address: node.address.ip().octets(), port: node.address.port() },
+                    zone: script.deployment.zones[node.zone].clone(),
+                    weight: 1.0,
+                };
+                let repeats = self.sabotage == Some(Sabotage::Repeat);
+                OperationTable {
+                    operation: OperationId(at as u8),
+                    table: TableId(at as u16),
+                    lines: open.map(line).collect(),
+                    quota: None,
+                    retry: if repeats { Retry::OnceAfterAnyFailure } else { Retry::AfterProofItNeverRan },
+                }
+            };
+            let operations = script.deployment.operations.iter().enumerate().map(table).collect();
+            let set =
+                TableSet { bundle: BundleId(gateway as u32), version: Version(self.version), operations };
+            let documents = tables::write(&set, &script.deployment).map_err(|error| error.to_string())?;
+            Swap::new(&self.root, set.version, &documents, &name(gateway))
+                .run()
+                .map_err(|error| error.to_string())?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/drill/src/gateways.rs
@@ -0,0 +1,241 @@
+//! The gateways of a drill: real proxies, several on one loop, and what they did written down.
+
+use crate::node::gateway_address;
+use crate::records::{Lines, Record, Recorder};
+use crate::script::Script;
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::path::PathBuf;
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::thread::JoinHandle;
+use wheelspread::ids::NodeId;
+use wheelspread::time::{Moment, Span};
+use wheelspread_files::Held;
+use wheelspread_proxy::witness::Outcome;
+use wheelspread_proxy::{ConductorSide, Proxy, ProxyPlan, Waits, Witness};
+use wheelspread_proxy_core::{CorePlan, Failure, Guard, OperationRules, Picking};
+use wheelspread_reactor::{self as reactor, Poll, Token, Waker};
+use wheelspread_session::deployment::Repeat;
+use wheelspread_session::nodes::show;
+
+pub enum GatewayOrder {
+    Die(usize),
+    /// It comes back, on a new port, knowing nothing; the address is told.
+    Start(Box<ProxyPlan>, usize, Sender<Option<SocketAddr>>),
+    End,
+}
+
+pub struct Gateways {
+    orders: Sender<GatewayOrder>,
+    waker: Waker,
+    thread: Option<JoinHandle<()>>,
+}
+
+const WAKER: Token = Token(u64::MAX);
+
+impl Gateways {
+    pub fn start(recorder: Recorder, joined_always: bool) -> std::io::Result<Gateways> {
+        let poll = Poll::new()?;
+        let waker = Waker::new(&poll, WAKER)?;
+        let (orders, from) = channel();
+        let rest = waker.clone();
+        let run = move || run(poll, rest, from, recorder, joined_always);
+        let thread = std::thread::Builder::new().name("gateways".to_string()).spawn(run)?;
+        Ok(Gateways { orders, waker, thread: Some(thread) })
+    }
+
+    pub fn order(&self, order: GatewayOrder) {
+        let _ = self.orders.send(order);
+        self.waker.wake();
+    }
+
+    pub fn add(&self, plan: ProxyPlan, number: usize) -> Option<SocketAddr> {
+        let (tell, told) = channel();
+        self.order(GatewayOrder::Start(Box::new(plan), number, tell));
+        told.recv().ok().flatten()
+    }
+}
+
+impl Drop for Gateways {
+    fn drop(&mut self) {
+        self.order(GatewayOrder::End);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+fn run(
+    mut poll: Poll,
+    waker: Waker,
+    orders: Receiver<GatewayOrder>,
+    recorder: Recorder,
+    joined_always: bool,
+) {
+    let mut proxies: Vec<Option<Proxy<Seen>>> = Vec::new();
+    let mut ready = Vec::new();
+    loop {
+        let now = reactor::now();
+        let mut wake = now + Span::from_seconds(1.0);
+        for proxy in proxies.iter_mut().flatten() {
+            proxy.turn(&poll, now);
+            wake = wake.min(proxy.wake_at(now));
+        }
+        if poll.wait(wake - reactor::now(), &mut ready).is_err() {
+            return;
+        }
+        let now = reactor::now();
+        for ready in ready.drain(..) {
+            if ready.token != WAKER {
+                let (number, token) = ((ready.token.0 >> 32) as usize, ready.token.0 & 0xffff_ffff);
+                if let Some(proxy) = proxies.get_mut(number).and_then(Option::as_mut) {
+                    // A watch that fails shows as tables that are never taken.
+                    let _ = proxy.ready(&poll, now, token, ready);
+                }
+                continue;
+            }
+            waker.rest();
+            while let Ok(order) = orders.try_recv() {
+                match order {
+                    GatewayOrder::End => return,
+                    GatewayOrder::Die(gateway) => {
+                        proxies[gateway] = None;
+                        recorder.note(now, Record::Died { gateway });
+                    }
+                    GatewayOrder::Start(plan, gateway, tell) => {
+                        if proxies.len() <= gateway {
+                            proxies.resize_with(gateway + 1, || None);
+                        }
+                        let seen = Seen { recorder: recorder.clone(), gateway, conductor: 0 };
+                        if joined_always {
+                            recorder.note(now, Record::Joined { gateway, conductor: 0 });
+                        }
+                        let started = Proxy::start(&poll, now, gateway as u32, *plan, seen).ok();
+                        let _ = tell.send(started.as_ref().and_then(|proxy| proxy.address().ok()));
+                        proxies[gateway] = started;
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Gateways as the script has them, calling from addresses that tell who they are.
+pub fn plan(
+    script: &Script,
+    gateway: usize,
+    zone: usize,
+    sides: &[(SocketAddrV4, PathBuf)],
+    seed: u64,
+    trusting: bool,
+    follows: bool,
+) -> ProxyPlan {
+    let deployment = &script.deployment;
+    let count = sides.len();
+    let conductors = (0..count).map(|at| &sides[(gateway + at) % count]);
+    let rules = |operation: &wheelspread_session::deployment::OperationPlan| OperationRules {
+        name: operation.name.clone(),
+        guard: match operation.repeat {
+            // A gateway that trusts its tables blindly, to see the audit find what comes of it.
+            _ if trusting => Guard::Idempotent,
+            Repeat::Idempotent => Guard::Idempotent,
+            Repeat::Fingerprinted => Guard::Fingerprinted { window: operation.repeat_window },
+            Repeat::SideEffecting => Guard::SideEffecting,
+        },
+        integration_timeout: operation.integration_timeout,
+    };
+    ProxyPlan {
+        name: name(gateway),
+        zone: deployment.zones[zone].clone(),
+        listen: SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0),
+        source: Some(gateway_address(zone, gateway)),
+        usual_rate: None,
+        seed: seed.wrapping_add(gateway as u64),
+        conductors: conductors
+            .map(|(reports, tables)| ConductorSide { reports: *reports, tables: tables.clone() })
+            .collect(),
+        core: CorePlan {
+            operations: deployment.operations.iter().map(rules).collect(),
+            picking: Picking::Lottery,
+            errors_until_avoided: deployment.proxies.errors_until_avoided,
+            avoided_for: Span::from_seconds(4.0),
+            repeats: (0.2, 20.0),
+            outstanding_at_most: 0,
+        },
+        head: 16 << 10,
+        body: 1 << 16,
+        connections: 5000,
+        connections_per_node: 64,
+        waits: Waits {
+            node_idle: deployment.proxies.connection_idle,
+            redial: Span::from_seconds(0.7),
+            ..Waits::default()
+        },
+        publishes_status: true,
+        follows_unjoined: follows,
+    }
+}
+
+pub fn name(gateway: usize) -> String {
+    format!("gateway-{gateway:03}")
+}
+
+/// Writes down what one gateway does.
+struct Seen {
+    recorder: Recorder,
+    gateway: usize,
+    conductor: usize,
+}
+
+pub fn lines(held: &Held) -> Lines {
+    let line = |line: &wheelspread_session::Line| (show(line.node), line.weight);
+    let of = |told: &wheelspread_xds::tables::OperationOrders| {
+        (told.operation.clone(), told.lines.iter().map(line).collect())
+    };
+    held.orders.operations.iter().map(of).collect()
+}
+
+impl Witness for Seen {
+    fn sent(&mut self, now: Moment, id: &str, operation: &str, node: NodeId, number: u32) {
+        let (gateway, id, node) = (self.gateway, id.to_string(), show(node));
+        let operation = operation.to_string();
+        self.recorder.note(now, Record::Sent { gateway, id, operation, node, number });
+    }
+
+    fn ended(&mut self, now: Moment, id: &str, node: NodeId, number: u32, failure: Option<Failure>) {
+        let outcome =
+            failure.map_or("succeeded".to_string(), |failure| format!("{failure:?}").to_lowercase());
+        let (gateway, id, node) = (self.gateway, id.to_string(), show(node));
+        self.recorder.note(now, Record::Ended { gateway, id, node, number, outcome });
+    }
+
+    fn answered(&mut self, now: Moment, id: &str, outcome: Outcome) {
+        let outcome = match outcome {
+            Outcome::Node(status) => format!("node-{status}"),
+            Outcome::RateLimited => "rate-limited".to_string(),
+            Outcome::NoNode => "no-node".to_string(),
+            Outcome::Failed(failure) => format!("{failure:?}").to_lowercase(),
+            Outcome::Nobody => "client-gone".to_string(),
+        };
+        self.recorder.note(now, Record::Answered { gateway: self.gateway, id: id.to_string(), outcome });
+    }
+
+    fn holds(&mut self, now: Moment, held: &Held) {
+        let (version, hash) = (held.orders.version.0, held.hash.clone());
+        let (gateway, conductor) = (self.gateway, self.conductor);
+        self.recorder.note(now, Record::Tables { gateway, conductor, version, hash, lines: lines(held) });
+    }
+
+    fn refused(&mut self, now: Moment, reason: &str) {
+        self.recorder.note(now, Record::TablesRefused { gateway: self.gateway, reason: reason.to_string() });
+    }
+
+    fn joined(&mut self, now: Moment, conductor: usize, of: usize) {
+        // Told by its place among the proxy's own conductors, which begin with its usual one.
+        self.conductor = (self.gateway + conductor) % of;
+        self.recorder.note(now, Record::Joined { gateway: self.gateway, conductor: self.conductor });
+    }
+
+    fn left(&mut self, now: Moment, _reason: &str) {
+        self.recorder.note(now, Record::Left { gateway: self.gateway });
+    }
+}
--- /dev/null
+++ b/crates/drill/src/records.rs
@@ -0,0 +1,132 @@
+//! What was seen, by whom. Times are seconds since the drill began, by the machine's monotonic clock.
+
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::io::{self, Write};
+use std::path::Path;
+use std::sync::mpsc::{channel, Receiver, Sender};
+use wheelspread::time::Moment;
+
+pub type Lines = BTreeMap<String, Vec<(String, f64)>>;
+
+/// One line of a log. `docs/drills.md` describes each.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+#[serde(tag = "what", rename_all = "snake_case")]
+pub enum Record {
+    // ---- gateways ----
+    Joined { gateway: usize, conductor: usize },
+    Left { gateway: usize },
+    Died { gateway: usize },
+    Tables { gateway: usize, conductor: usize, version: u64, hash: String, lines: Lines },
+    TablesRefused { gateway: usize, reason: String },
+    Sent { gateway: usize, id: String, operation: String, node: String, number: u32 },
+    Ended { gateway: usize, id: String, node: String, number: u32, outcome: String },
+    Answered { gateway: usize, id: String, outcome: String },
+    // ---- nodes ----
+    Started { node: String, zone: usize, kind: String, capacity: f64, cold: bool },
+    Came { node: String, gateway: usize, id: String, operation: String, work: f64 },
+    Effect { node: String, id: String, operation: String },
+    Fell { node: String },
+    Ceased { node: String },
+    // ---- what the directories and lists showed ----
+    Swapped { conductor: usize, gateway: usize, version: u64, hash: String, lines: Lines },
+    SwapUnreadable { conductor: usize, gateway: usize, reason: String },
+    Listed { conductor: usize, version: u64, nodes: BTreeMap<String, Listed> },
+    // ---- clients ----
+    Done { gateway: usize, id: String, operation: String, attempt: u32, latency: f64, outcome: ClientOutcome },
+    // ---- the drill ----
+    Trouble { kind: String, injected: bool, span: f64 },
+    ConductorStarted { conductor: usize },
+    ConductorKilled { conductor: usize },
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Listed {
+    pub zone: usize,
+    pub draining: bool,
+    /// Seconds since the drill began; below 0: before it.
+    pub started: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ClientOutcome {
+    Succeeded,
+    RateLimited,
+    Errored,
+    GivenUp,
+}
+
+impl Record {
+    /// Which log file it belongs to.
+    fn log(&self) -> String {
+        use Record::*;
+        match self {
+            Joined { gateway, .. } | Left { gateway } | Died { gateway } | Tables { gateway, .. } => {
+                format!("gateway-{gateway:03}")
+            }
+            TablesRefused { gateway, .. } | Sent { gateway, .. } => format!("gateway-{gateway:03}"),
+            Ended { gateway, .. } | Answered { gateway, .. } => format!("gateway-{gateway:03}"),
+            Started { node, .. } | Came { node, .. } | Effect { node, .. } => format!("node-{}", plain(node)),
+            Fell { node } | Ceased { node } => format!("node-{}", plain(node)),
+            Swapped { conductor, .. } | SwapUnreadable { conductor, .. } => format!("directory-{conductor}"),
+            Listed { conductor, .. } => format!("list-{conductor}"),
+            Done { .. } => "clients".to_string(),
+            Trouble { .. } | ConductorStarted { .. } | ConductorKilled { .. } => "drill".to_string(),
+        }
+    }
+}
+
+fn plain(node: &str) -> String {
+    node.replace([':', '.'], "-")
+}
+
+/// What was seen, in the order of time.
+#[derive(Clone, Debug, Default)]
+pub struct Records(pub Vec<(f64, Record)>);
+
+impl Records {
+    /// A log for each gateway, node, directory and list, one JSON object a line.
+    pub fn keep(&self, directory: &Path) -> io::Result<()> {
+        std::fs::create_dir_all(directory)?;
+        let mut logs: BTreeMap<String, Vec<u8>> = BTreeMap::new();
+        for (t, record) in &self.0 {
+            #[derive(Serialize)]
+            struct Dated<'a> {
+                t: f64,
+                #[serde(flatten)]
+                record: &'a Record,
+            }
+            let log = logs.entry(record.log()).or_default();
+            serde_json::to_writer(&mut *log, &Dated { t: (t * 1e6).round() / 1e6, record })?;
+            log.push(b'\n');
+        }
+        for (name, bytes) in logs {
+            std::fs::File::create(directory.join(format!("{name}.jsonl")))?.write_all(&bytes)?;
+        }
+        Ok(())
+    }
+}
+
+/// Notes what was seen, from any thread.
+#[derive(Clone)]
+pub struct Recorder {
+    start: Moment,
+    to: Sender<(f64, Record)>,
+}
+
+impl Recorder {
+    pub fn new(start: Moment) -> (Recorder, Receiver<(f64, Record)>) {
+        let (to, from) = channel();
+        (Recorder { start, to }, from)
+    }
+
+    pub fn at(&self, now: Moment) -> f64 {
+        (now - self.start).seconds()
+    }
+
+    pub fn note(&self, now: Moment, record: Record) {
+        // The other end is gone only when the drill is over.
+        let _ = self.to.send((self.at(now), record));
+    }
+}
--- /dev/null
+++ b/crates/drill/src/script.rs
@@ -0,0 +1,256 @@
+//! What a drill plays: fleet, traffic, troubles. Scripts are YAML; a day of the operators' bench is read
+//! for its troubles, which are played at the same parts of the drill, scaled to its fleet.
+
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use std::path::Path;
+use wheelspread::time::Span;
+use wheelspread_session::{spans, Deployment};
+
+pub const BUILT_IN: &str = include_str!("../days/bad-day.yaml");
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum TroubleKind {
+    AnswerLost,
+    BalancerCrash,
+    BalancerStall,
+    ConnSqueeze,
+    CounterDown,
+    Deploy,
+    FastErrors,
+    Flapping,
+    Grow,
+    HotCaller,
+    LateList,
+    OneSided,
+    OriginSlow,
+    Overload,
+    Preempt,
+    Reconnect,
+    ReportLate,
+    SharedSlow,
+    SlowLink,
+    Vanish,
+    ZoneCut,
+}
+
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Trouble {
+    pub kind: TroubleKind,
+    #[serde(with = "spans")]
+    pub at: Span,
+    #[serde(default = "moment", rename = "for", with = "spans")]
+    pub span: Span,
+    /// Of those that it can strike.
+    #[serde(default = "one")]
+    pub part: f64,
+    /// How hard: a factor, a share or seconds, by kind.
+    #[serde(default = "one")]
+    pub size: f64,
+    #[serde(default)]
+    pub extra: f64,
+    /// `conductor` or `gateway`, for what can strike both.
+    #[serde(default)]
+    pub whom: Option<String>,
+}
+
+fn moment() -> Span {
+    Span::from_seconds(0.0)
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct NodeKind {
+    pub name: String,
+    pub count: usize,
+    pub cores: u32,
+    pub speed: f64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct NodePlan {
+    pub kinds: Vec<NodeKind>,
+    /// Invocations that may wait at a node; it turns away more.
+    pub queue: usize,
+    pub connections: usize,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct OperationTraffic {
+    pub name: String,
+    pub share: f64,
+    /// Mean work, at a core of speed 1.
+    #[serde(with = "spans")]
+    pub work: Span,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TrafficPlan {
+    /// First tries a second, over all gateways.
+    pub rate: f64,
+    pub operations: Vec<OperationTraffic>,
+    /// Times that a client comes again after a failure.
+    #[serde(default)]
+    pub retries: u32,
+    /// How unequal gateways are: the largest over the smallest.
+    #[serde(default = "one")]
+    pub spread: f64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Script {
+    pub name: String,
+    #[serde(with = "spans")]
+    pub length: Span,
+    pub gateways: usize,
+    pub nodes: NodePlan,
+    pub traffic: TrafficPlan,
+    pub deployment: Deployment,
+    /// How late the list of nodes is.
+    #[serde(default = "list_delay", with = "spans")]
+    pub list_delay: Span,
+    #[serde(default)]
+    pub troubles: Vec<Trouble>,
+}
+
+fn list_delay() -> Span {
+    Span::from_seconds(0.8)
+}
+
+impl Script {
+    pub fn parse(text: &str) -> Result<Script, String> {
+        let script: Script = serde_yaml_ng::from_str(text).map_err(|error| error.to_string())?;
+        let flaws = script.flaws();
+        if flaws.is_empty() {
+            Ok(script)
+        } else {
+            Err(flaws.join("\n"))
+        }
+    }
+
+    pub fn read(path: &Path) -> Result<Script, String> {
+        let text = std::fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))?;
+        Script::parse(&text).map_err(|error| format!("{}: {error}", path.display()))
+    }
+
+    fn flaws(&self) -> Vec<String> {
+        let mut flaws: Vec<String> = self
+            .deployment
+            .flaws()
+            .iter()
+            .map(|flaw| format!("deployment.{}: {}", flaw.field, flaw.text))
+            .collect();
+        let mut wrong = |text: String| flaws.push(text);
+        if !(2.0..=3600.0).contains(&self.length.seconds()) {
+            wrong("length: between 2s and 1h is possible".to_string());
+        }
+        if self.gateways == 0 || self.gateways > 200 {
+            wrong(format!("gateways: {}, between 1 and 200 are possible on one machine", self.gateways));
+        }
+        let count: usize = self.nodes.kinds.iter().map(|kind| kind.count).sum();
+        if count == 0 || count > 400 {
+            wrong(format!("nodes.kinds: {count} nodes, between 1 and 400 are possible"));
+        }
+        for kind in &self.nodes.kinds {
+            if !self.deployment.kinds.contains(&kind.name) {
+                wrong(format!("nodes.kinds: `{}` is not one of deployment.kinds", kind.name));
+            }
+            if kind.cores == 0 || !(0.01..=100.0).contains(&kind.speed) {
+                wrong(format!("nodes.kinds: `{}` needs cores and a speed between 0.01 and 100", kind.name));
+            }
+        }
+        let named =
+            |name: &String| self.deployment.operations.iter().any(|operation| operation.name == *name);
+        for operation in self.traffic.operations.iter().filter(|operation| !named(&operation.name)) {
+            wrong(format!("traffic.operations: `{}` is not one of deployment.operations", operation.name));
+        }
+        if !(0.0..=20_000.0).contains(&self.traffic.rate) || !(1.0..=1000.0).contains(&self.traffic.spread) {
+            wrong("traffic: rate should lie between 0 and 20000, spread between 1 and 1000".to_string());
+        }
+        for (at, trouble) in self.troubles.iter().enumerate() {
+            if trouble.at > self.length || !(0.0..=1.0).contains(&trouble.part) || !trouble.size.is_finite() {
+                wrong(format!(
+                    "troubles.{at}: it should begin within the drill and strike a part between 0 and 1"
+                ));
+            }
+        }
+        flaws
+    }
+
+    /// The same fleet with the troubles of a day. What can't be injected is named.
+    pub fn with_day(mut self, text: &str) -> Result<(Script, Vec<String>), String> {
+        let day: Value =
+            serde_json::from_str(text).map_err(|error| format!("the day is no JSON: {error}"))?;
+        let number = |value: &Value, name: &str| value.get(name).and_then(Value::as_f64);
+        let length = number(&day, "length").filter(|length| *length > 0.0).ok_or("the day has no length")?;
+        let troubles = day.get("troubles").and_then(Value::as_array).ok_or("the day has no troubles")?;
+        let many = |name: &str| day.get(name).and_then(Value::as_array).map_or(1, Vec::len).max(1) as f64;
+        let (servers, balancers) = (many("servers"), many("balancers"));
+        let scale = self.length.seconds() / length;
+        let mut unknown = Vec::new();
+        self.troubles.clear();
+        for told in troubles {
+            let kind = told.get("kind").and_then(Value::as_str).unwrap_or("");
+            let Ok(known) = serde_json::from_value::<TroubleKind>(Value::String(kind.to_string())) else {
+                unknown.push(kind.to_string());
+                continue;
+            };
+            let struck = told.get("on").and_then(Value::as_array).map_or(0, Vec::len) as f64;
+            let whole = match known {
+                TroubleKind::BalancerCrash | TroubleKind::CounterDown | TroubleKind::HotCaller => balancers,
+                _ => servers,
+            };
+            let part = if struck > 0.0 { (struck / whole).clamp(0.0, 1.0) } else { 1.0 };
+            let size = number(told, "size").unwrap_or(1.0);
+            // A share of streams is told as size there; late reports come later by seconds.
+            self.troubles.push(Trouble {
+                kind: known,
+                at: Span::from_seconds(number(told, "at").unwrap_or(0.0) * scale),
+                span: Span::from_seconds(number(told, "len").unwrap_or(0.0) * scale),
+                part,
+                size,
+                extra: number(told, "extra").unwrap_or(0.0),
+                whom: None,
+            });
+        }
+        self.name = format!("{} with the troubles of a day", self.name);
+        Ok((self, unknown))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_built_in_day_is_fine_and_a_day_of_the_bench_is_scaled_to_it() {
+        let script = Script::parse(BUILT_IN).expect("it is fine");
+        let day = r#"{"length": 100000000, "servers": [1,2,3,4], "troubles": [
+            {"kind": "vanish", "at": 50000000, "len": 10000000, "on": [2], "size": 0},
+            {"kind": "meteor", "at": 1, "len": 1}]}"#;
+        let length = script.length.seconds();
+        let (script, unknown) = script.with_day(day).expect("it is a day");
+        assert_eq!((unknown, script.troubles.len()), (vec!["meteor".to_string()], 1));
+        let trouble = &script.troubles[0];
+        assert_eq!((trouble.kind, trouble.part), (TroubleKind::Vanish, 0.25));
+        assert!((trouble.at.seconds() - length / 2.0).abs() < 1e-6);
+    }
+
+    #[test]
+    fn a_script_that_cannot_be_is_named() {
+        let wrong = BUILT_IN.replace("gateways: ", "gateways: 9").replace("kind: deploy", "kind: earthquake");
+        assert!(Script::parse(&wrong).is_err_and(|error| error.contains("earthquake")));
+        let wrong = BUILT_IN.replace("rate: ", "rate: -");
+        assert!(Script::parse(&wrong).is_err_and(|error| error.contains("traffic: rate")));
+    }
+}
--- a/crates/proxy/src/client.rs
+++ b/crates/proxy/src/client.rs
@@ -29,6 +29,7 @@
 pub struct Under {
     pub invocation: InvocationId,
     pub id: String,
+    pub operation: String,
     pub request: Rc<Vec<u8>>,
     pub node: Option<usize>,
     pub is_head: bool,
--- a/crates/proxy/src/file.rs
+++ b/crates/proxy/src/file.rs
@@ -159,6 +159,10 @@
     /// Whether it tells conductors which version it holds.
     #[serde(default = "yes")]
     publishes_status: bool,
+    /// Whether it goes by what is swapped into the first conductor's directory though no conductor took it
+    /// in, as where somebody swaps tables by hand.
+    #[serde(default)]
+    follows_unjoined: bool,
 }
 
 fn lottery() -> Pick {
@@ -194,6 +198,7 @@
     pub connections_per_node: usize,
     pub waits: Waits,
     pub publishes_status: bool,
+    pub follows_unjoined: bool,
 }
 
 impl ProxyFile {
@@ -275,6 +280,7 @@
             connections_per_node: self.sizes.connections_per_node,
             waits: self.waits,
             publishes_status: self.publishes_status,
+            follows_unjoined: self.follows_unjoined,
         })
     }
 }
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -94,6 +94,9 @@
             witness,
             plan,
         };
+        if proxy.plan.follows_unjoined {
+            proxy.tables.follow(poll, Token(base + TABLES), 0)?;
+        }
         let looked = proxy.tables.start();
         proxy.looked(poll, now, looked);
         Ok(proxy)
@@ -180,7 +183,7 @@
                     if let Err(error) = self.tables.follow(poll, token, conductor) {
                         self.witness.refused(now, &format!("its directory can't be watched: {error}"));
                     }
-                    self.witness.joined(now, conductor);
+                    self.witness.joined(now, conductor, self.plan.conductors.len());
                 }
                 Told::Left { reason } => self.witness.left(now, &reason),
             }
@@ -361,6 +364,7 @@
         let under = Under {
             invocation: decision.invocation,
             id,
+            operation: name,
             request,
             node: None,
             is_head: head.is_head,
@@ -439,7 +443,7 @@
     ) -> Option<Decision> {
         let under = self.clients.get(slot)?.under.as_ref()?;
         let (invocation, request) = (under.invocation, under.request.clone());
-        self.witness.sent(now, &under.id, send.node, send.number);
+        self.witness.sent(now, &under.id, &under.operation, send.node, send.number);
         let Some(line) = self.line_to(poll, now, send.node) else {
             return Some(self.tried(now, slot, send.node, send.number, Failure::Connect));
         };
--- a/crates/proxy/src/witness.rs
+++ b/crates/proxy/src/witness.rs
@@ -20,14 +20,15 @@
 /// All calls name the invocation by its `x-request-id`.
 pub trait Witness {
     fn arrived(&mut self, _now: Moment, _id: &str, _operation: &str) {}
-    fn sent(&mut self, _now: Moment, _id: &str, _node: NodeId, _number: u32) {}
+    fn sent(&mut self, _now: Moment, _id: &str, _operation: &str, _node: NodeId, _number: u32) {}
     /// `None`: the try succeeded.
     fn ended(&mut self, _now: Moment, _id: &str, _node: NodeId, _number: u32, _failure: Option<Failure>) {}
     fn answered(&mut self, _now: Moment, _id: &str, _outcome: Outcome) {}
     /// Tables came into force.
     fn holds(&mut self, _now: Moment, _held: &Held) {}
     fn refused(&mut self, _now: Moment, _reason: &str) {}
-    fn joined(&mut self, _now: Moment, _conductor: usize) {}
+    /// Joined to this one `of` its conductors, by their place in its file.
+    fn joined(&mut self, _now: Moment, _conductor: usize, _of: usize) {}
     fn left(&mut self, _now: Moment, _reason: &str) {}
 }
 
--- a/crates/reactor/src/lib.rs
+++ b/crates/reactor/src/lib.rs
@@ -6,12 +6,12 @@
 
 pub use watch::{Moved, Watcher};
 
-use rustix::buffer::spare_capacity;
 use rustix::event::epoll;
 use rustix::event::{eventfd, EventfdFlags, Timespec};
 use rustix::fd::{AsFd, OwnedFd};
 use rustix::io::Errno;
 use std::io;
+use std::mem::MaybeUninit;
 use std::net::{Ipv4Addr, SocketAddrV4, TcpListener, TcpStream};
 use std::os::unix::net::UnixStream;
 use std::sync::Arc;
@@ -40,15 +40,15 @@
 
 pub struct Poll {
     epoll: OwnedFd,
-    events: Vec<epoll::Event>,
 }
 
-const EVENTS: usize = 1024;
+/// Taken from the kernel in one go.
+const EVENTS: usize = 512;
 
 impl Poll {
     pub fn new() -> io::Result<Poll> {
         let epoll = epoll::create(epoll::CreateFlags::CLOEXEC)?;
-        Ok(Poll { epoll, events: Vec::with_capacity(EVENTS) })
+        Ok(Poll { epoll })
     }
 
     pub fn add(&self, what: impl AsFd, token: Token, interest: Interest) -> io::Result<()> {
@@ -73,13 +73,14 @@
         ready.clear();
         let micros = at_most.micros().max(0);
         let timeout = Timespec { tv_sec: micros / 1_000_000, tv_nsec: (micros % 1_000_000) * 1000 };
-        self.events.clear();
-        match epoll::wait(&self.epoll, spare_capacity(&mut self.events), Some(&timeout)) {
-            Ok(_) | Err(Errno::INTR) => {}
+        let mut room = [MaybeUninit::<epoll::Event>::uninit(); EVENTS];
+        let events = match epoll::wait(&self.epoll, &mut room, Some(&timeout)) {
+            Ok((events, _)) => events,
+            Err(Errno::INTR) => return Ok(()),
             Err(error) => return Err(error.into()),
-        }
+        };
         let broken = epoll::EventFlags::HUP | epoll::EventFlags::ERR;
-        ready.extend(self.events.iter().map(|event| {
+        ready.extend(events.iter().map(|event| {
             let (flags, data) = (event.flags, event.data);
             Readiness {
                 token: Token(data.u64()),
