End-to-end tests: hard cases of the conductor, short drills, sabotage found by rule

Reports near the top of their range no longer overflow on the way out; a client reads why a stream ended before it notices that the connection did.

--- /dev/null
+++ b/crates/cli/tests/drills.rs
@@ -0,0 +1,48 @@
+//! Short drills with real conductor processes, and sabotaged ones, each of which must be found to break
+//! its rule and no other.
+
+use std::path::PathBuf;
+use test_case::test_case;
+use wheelspread_drill::{run, Options, Report, Sabotage, Script};
+
+const SHORT: &str = include_str!("../../drill/days/short.yaml");
+
+fn play(text: &str, sabotage: Option<Sabotage>) -> Report {
+    let script = Script::parse(text).expect("the script is fine");
+    let options = Options {
+        program: PathBuf::from(env!("CARGO_BIN_EXE_wheelspread")),
+        seed: 1,
+        even: sabotage.is_some(),
+        sabotage,
+        keep: None,
+        not_injected: Vec::new(),
+        progress: &mut |_| {},
+    };
+    run(&script, options).expect("it can be played")
+}
+
+#[test]
+fn a_short_bad_day_keeps_all_rules() {
+    let report = play(SHORT, None);
+    assert!(report.verdict.kept(), "{}", report.table());
+    assert!(report.verdict.rules.iter().all(|rule| rule.checked > 0), "{}", report.table());
+    assert!(report.verdict.service > 0.9, "{}", report.table());
+    assert_eq!(report.troubles.len(), 4);
+}
+
+fn quiet() -> String {
+    SHORT.split("troubles:").next().unwrap_or("").replace("length: 10s", "length: 7s")
+}
+
+#[test_case(Sabotage::EmptyTable, 1, 90; "an empty table")]
+#[test_case(Sabotage::Repeat, 2, 90; "a repeat of what has effects")]
+#[test_case(Sabotage::KeepDrained, 3, 90; "a drained node that is kept")]
+#[test_case(Sabotage::FloodCold, 4, 400; "a cold node that is flooded")]
+#[test_case(Sabotage::Overfill, 5, 90; "a channel that is overfilled")]
+fn a_sabotaged_day_breaks_its_rule_and_no_other(sabotage: Sabotage, rule: u8, rate: u32) {
+    let report = play(&quiet().replace("rate: 90", &format!("rate: {rate}")), Some(sabotage));
+    let broken: Vec<u8> =
+        report.verdict.rules.iter().filter(|judged| judged.broken > 0).map(|judged| judged.rule).collect();
+    assert_eq!(broken, [rule], "{}", report.table());
+    assert!(!report.verdict.kept());
+}
--- a/crates/conductor/src/service.rs
+++ b/crates/conductor/src/service.rs
@@ -258,6 +258,8 @@
         let (mut list, mut statuses) = (false, BTreeSet::new());
         for moved in self.watcher.moved()? {
             match moved {
+                // What is not finished yet is nobody's.
+                Moved::Into { name, .. } if name.starts_with('.') => {}
                 Moved::Into { directory, name } if directory == self.root.statuses() => {
                     statuses.extend(name.strip_suffix(".json").map(str::to_string));
                 }
--- a/crates/drill/src/audit.rs
+++ b/crates/drill/src/audit.rs
@@ -225,7 +225,10 @@
             }
             Record::Sent { gateway, node, .. } => {
                 let Some((conductor, since)) = joined.0.get(gateway) else { continue };
-                let Some(told) = closed.get(&(*conductor, node.clone())) else { continue };
+                let Some(told) = closed.get(&(*conductor, node.clone())) else {
+                    judged.checked += 1;
+                    continue;
+                };
                 let from = told.max(*since);
                 let stretch = slowed.iter().filter(|slow| from <= slow.to && *t >= slow.from);
                 let factor = stretch.map(|slow| slow.factor).fold(1.0, f64::max);
@@ -237,19 +240,26 @@
     judged
 }
 
+/// A node since its start, with what came to it lately.
+struct Cold {
+    started: f64,
+    capacity: f64,
+    came: Vec<(f64, f64)>,
+}
+
 /// Rule 4: what came to a cold node over what it could do, at most, in any window of the stated span.
 fn fourth(records: &Records, plan: &Deployment) -> RuleJudged {
     let mut judged = RuleJudged::new(4);
     let rules = &plan.rules;
     let (span, warm) = (rules.cold_overload_span.seconds(), rules.warm_after.seconds());
-    let mut cold: BTreeMap<&str, (f64, f64, Vec<(f64, f64)>)> = BTreeMap::new();
+    let mut cold: BTreeMap<&str, Cold> = BTreeMap::new();
     for (t, record) in &records.0 {
         match record {
             Record::Started { node, capacity, cold: true, .. } => {
-                cold.insert(node, (*t, *capacity, Vec::new()));
+                cold.insert(node, Cold { started: *t, capacity: *capacity, came: Vec::new() });
             }
             Record::Came { node, work, .. } => {
-                let Some((started, capacity, came)) = cold.get_mut(node.as_str()) else { continue };
+                let Some(Cold { started, capacity, came }) = cold.get_mut(node.as_str()) else { continue };
                 if t - *started > warm {
                     continue;
                 }
--- a/crates/drill/src/even.rs
+++ b/crates/drill/src/even.rs
@@ -60,6 +60,11 @@
         };
         let flood = self.sabotage == Some(Sabotage::FloodCold) && nodes.iter().any(|node| node.cold);
         for (gateway, zone) in zones.iter().enumerate() {
+            // One gateway is enough to be written to too often.
+            if self.sabotage == Some(Sabotage::Overfill) && gateway > 0 && self.version >= zones.len() as u64
+            {
+                break;
+            }
             self.version += 1;
             let empty = self.sabotage == Some(Sabotage::EmptyTable)
                 && gateway == 0
--- a/crates/drill/src/run.rs
+++ b/crates/drill/src/run.rs
@@ -593,21 +593,21 @@
                 let usual = self.script.nodes.connections;
                 // As many connections as a fifth of the size says, four at least.
                 let few = ((usual as f64 * size.clamp(0.02, 1.0) * 0.2) as usize).max(4);
-                let (on, off): (Box<dyn Fn(NodeKey) -> NodeOrder>, Box<dyn Fn(NodeKey) -> NodeOrder>) =
-                    match trouble.kind {
-                        TroubleKind::FastErrors => (
-                            Box::new(move |key| NodeOrder::Errors(key, size)),
-                            Box::new(|key| NodeOrder::Errors(key, 0.0)),
-                        ),
-                        TroubleKind::AnswerLost => (
-                            Box::new(move |key| NodeOrder::AnswersLost(key, size)),
-                            Box::new(|key| NodeOrder::AnswersLost(key, 0.0)),
-                        ),
-                        _ => (
-                            Box::new(move |key| NodeOrder::Connections(key, few)),
-                            Box::new(move |key| NodeOrder::Connections(key, usual)),
-                        ),
-                    };
+                type Order = Box<dyn Fn(NodeKey) -> NodeOrder>;
+                let (on, off): (Order, Order) = match trouble.kind {
+                    TroubleKind::FastErrors => (
+                        Box::new(move |key| NodeOrder::Errors(key, size)),
+                        Box::new(|key| NodeOrder::Errors(key, 0.0)),
+                    ),
+                    TroubleKind::AnswerLost => (
+                        Box::new(move |key| NodeOrder::AnswersLost(key, size)),
+                        Box::new(|key| NodeOrder::AnswersLost(key, 0.0)),
+                    ),
+                    _ => (
+                        Box::new(move |key| NodeOrder::Connections(key, few)),
+                        Box::new(move |key| NodeOrder::Connections(key, usual)),
+                    ),
+                };
                 self.at(at, orders(&keys, &on));
                 self.at(end, orders(&keys, &off));
             }
--- a/crates/grpc/src/client.rs
+++ b/crates/grpc/src/client.rs
@@ -34,6 +34,7 @@
 struct Open {
     connection: Connection<Socket, Bytes>,
     pings: Option<PingPong>,
+    closed: Option<String>,
     pinged: Option<Moment>,
     quiet_since: Moment,
     /// Held so that the connection stays open.
@@ -121,6 +122,7 @@
                     let open = Open {
                         connection,
                         pings,
+                        closed: None,
                         pinged: None,
                         quiet_since: now,
                         _requests: requests,
@@ -134,13 +136,21 @@
                 Poll::Pending => Ok(false),
             },
             State::Open(open) => {
-                let Open { connection, stream, .. } = open.as_mut();
-                if let Poll::Ready(result) = Pin::new(connection).poll(context) {
-                    let reason =
-                        result.err().map_or("the peer closed the connection".to_string(), |e| e.to_string());
-                    return Err(reason);
+                let Open { connection, stream, closed, .. } = open.as_mut();
+                if closed.is_none() {
+                    if let Poll::Ready(result) = Pin::new(connection).poll(context) {
+                        let plain = "the peer closed the connection".to_string();
+                        *closed = Some(result.err().map_or(plain, |error| error.to_string()));
+                    }
                 }
+                // What came before the end still counts, the reason for it above all.
                 let read = read(stream, &mut self.events, context)?;
+                if let Some(reason) = closed.as_ref().filter(|_| !read) {
+                    return Err(reason.clone());
+                }
+                if closed.is_some() {
+                    return Ok(true);
+                }
                 let wrote = write(stream, &mut self.queue, &mut self.queued, context)?;
                 let pinged = open.ping(now, self.limits.ping, context)?;
                 Ok(read | wrote | pinged)
--- a/crates/xds/src/loads.rs
+++ b/crates/xds/src/loads.rs
@@ -125,9 +125,15 @@
                 (mine > 0).then(|| metric_stats(REPEATS, Metric { count: mine, total: mine as f64 }));
             endpoint::UpstreamLocalityStats {
                 locality: Some(core::Locality { zone, ..core::Locality::default() }),
-                total_successful_requests: nodes.iter().map(|node| node.succeeded).sum(),
-                total_error_requests: nodes.iter().map(|node| node.errored).sum(),
-                total_requests_in_progress: nodes.iter().map(|node| node.in_progress).sum(),
+                total_successful_requests: nodes
+                    .iter()
+                    .map(|node| node.succeeded)
+                    .fold(0, u64::saturating_add),
+                total_error_requests: nodes.iter().map(|node| node.errored).fold(0, u64::saturating_add),
+                total_requests_in_progress: nodes
+                    .iter()
+                    .map(|node| node.in_progress)
+                    .fold(0, u64::saturating_add),
                 load_metric_stats: metric.into_iter().collect(),
                 upstream_endpoint_stats: nodes.into_iter().map(endpoint_stats).collect(),
                 ..endpoint::UpstreamLocalityStats::default()
@@ -158,7 +164,7 @@
         total_successful_requests: node.succeeded,
         total_requests_in_progress: node.in_progress,
         total_error_requests: node.errored,
-        total_issued_requests: node.succeeded + node.errored,
+        total_issued_requests: node.succeeded.saturating_add(node.errored),
         load_metric_stats: node.metrics.iter().map(|(name, metric)| metric_stats(name, *metric)).collect(),
         ..endpoint::UpstreamEndpointStats::default()
     }
