--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,6 +1,7 @@
 //! The `wheelspread` program: one sub-command for each thing that it does.
 
 mod drill;
+mod measure;
 
 use clap::{Parser, Subcommand};
 use std::path::{Path, PathBuf};
@@ -32,6 +33,8 @@
     },
     /// Plays a bad day on loopback and judges the five rules by what went over the sockets.
     Drill(drill::DrillArguments),
+    /// Measures on this machine what a part of the program costs.
+    Measure(measure::MeasureArguments),
 }
 
 /// A file or a call that can't be carried out.
@@ -43,6 +46,7 @@
         Command::Check { file } => check(&file),
         Command::Proxy { file } => proxy(&file),
         Command::Drill(arguments) => drill::drill(arguments),
+        Command::Measure(arguments) => measure::measure(arguments),
     }
 }
 
--- a/crates/drill/src/lib.rs
+++ b/crates/drill/src/lib.rs
@@ -6,6 +6,7 @@
 mod clients;
 mod even;
 mod gateways;
+mod measure;
 mod node;
 mod records;
 mod run;
@@ -15,6 +16,7 @@
 
 pub use audit::{judge, Judged, RuleJudged, Verdict};
 pub use even::Sabotage;
+pub use measure::{measure, Measured};
 pub use records::{Record, Records};
 pub use run::{run, DrillError, Options, Report};
 pub use script::{Script, Trouble, TroubleKind, BUILT_IN};
--- /dev/null
+++ b/crates/drill/src/measure.rs
@@ -0,0 +1,270 @@
+//! How long a conductor takes from news to renamed files, and what CPU it costs, at two sizes in one run.
+//! Proxies are streams and directories only.
+
+use crate::gateways::name;
+use crate::run::{cpu_of, free_port, DrillError};
+use hdrhistogram::Histogram;
+use prost::Message;
+use serde::Serialize;
+use std::collections::{BTreeMap, BTreeSet};
+use std::path::{Path, PathBuf};
+use std::process::{Command, Stdio};
+use wheelspread::ids::NodeId;
+use wheelspread::time::{Moment, Span};
+use wheelspread_files::{read_tables, swap, Root, CURRENT};
+use wheelspread_grpc::{ClientConnection, ClientEvent, Limits};
+use wheelspread_reactor::{self as reactor, Interest, Moved, Poll, Token, Watcher};
+use wheelspread_session::membership::Introduction;
+use wheelspread_session::nodes::{NodeList, NodeRecord};
+use wheelspread_session::sums::{Metric, NodeReport, OperationReport, Report, LATENCY, UTILIZATION};
+use wheelspread_xds::loads;
+
+#[derive(Clone, Debug, Serialize)]
+pub struct Measured {
+    pub nodes: usize,
+    pub proxies: usize,
+    /// From a list that was swapped in to a proxy's renamed link, in milliseconds.
+    pub list_to_link_ms_p50: f64,
+    pub list_to_link_ms_p99: f64,
+    pub swaps: u64,
+    /// Seconds of CPU a second, with sums of every proxy coming once a second.
+    pub cpu: f64,
+    /// From the first stream to the last proxy's first tables, in milliseconds.
+    pub all_joined_ms: f64,
+}
+
+const WATCHER: Token = Token(1 << 40);
+const ZONES: [&str; 3] = ["a", "b", "c"];
+
+struct Peer {
+    connection: ClientConnection,
+    zone: usize,
+    accepted: bool,
+}
+
+fn file(listen: &str, proxies: usize) -> String {
+    format!(
+        "conductor: {{name: measured, listen: \"{listen}\", tables: tables, list: nodes.json}}
+log: {{level: warn}}
+deployment:
+  zones: [a, b, c]
+  operations:
+    - {{name: quote, latency_objective: 1s, integration_timeout: 3s, billed_value: 2, repeat: idempotent}}
+    - {{name: plan, latency_objective: 1s, integration_timeout: 3s, billed_value: 1, repeat: idempotent,
+       stays_in_zone: true}}
+  proxies: {{count: {proxies}, errors_until_avoided: 3, usual_rate: 3}}
+  rules: {{without_node_at_most: 3s, drain_grace: 3s, cold_start_share: 0.2, warm_after: 10s,
+          cold_overload_factor: 4, cold_overload_span: 2s}}
+  channel: {{lines_waiting_at_most: 2000000, lines_per_second: 1000000, head_lines: 6, delay_at_most: 500ms}}
+  sums: {{period: 1s, loads: [utilization]}}
+"
+    )
+}
+
+fn list(version: u64, nodes: usize, draining: &BTreeSet<usize>) -> NodeList {
+    let record = |at: usize| NodeRecord {
+        node: NodeId { address: [127, 0, 1 + (at / 200) as u8, 1 + (at % 200) as u8], port: 9000 },
+        zone: ZONES[at % 3].to_string(),
+        kind: String::new(),
+        cell: String::new(),
+        draining: draining.contains(&at),
+        weight: 1.0,
+        started: None,
+    };
+    NodeList { version: version.to_string(), records: (0..nodes).map(record).collect() }
+}
+
+/// What a proxy would tell that met its tables' nodes at its usual rate.
+fn report(nodes: &[NodeId]) -> Vec<u8> {
+    let met = |operation: &str| OperationReport {
+        operation: operation.to_string(),
+        nodes: nodes
+            .iter()
+            .map(|node| NodeReport {
+                node: Some(*node),
+                succeeded: 2,
+                metrics: BTreeMap::from([
+                    (LATENCY.to_string(), Metric { count: 2, total: 200.0 }),
+                    (UTILIZATION.to_string(), Metric { count: 2, total: 0.8 }),
+                ]),
+                ..NodeReport::default()
+            })
+            .collect(),
+        ..OperationReport::default()
+    };
+    let report = Report { over: Span::from_seconds(1.0), operations: vec![met("quote"), met("plan")] };
+    loads::request(&report, |_| String::new()).encode_to_vec()
+}
+
+pub fn measure(program: &Path, nodes: usize, proxies: usize, rounds: u32) -> Result<Measured, DrillError> {
+    let io = |what: &str| {
+        let what = what.to_string();
+        move |source| DrillError::Io { what, source }
+    };
+    let directory = tempfile::tempdir().map_err(io("a temporary directory"))?;
+    let listen = free_port().map_err(io("a port"))?;
+    let root = Root::new(directory.path().join("tables"));
+    root.prepare().map_err(io("the root"))?;
+    let mut poll = Poll::new().map_err(io("epoll"))?;
+    let mut watcher = Watcher::new(&poll, WATCHER).map_err(io("inotify"))?;
+    let mut places: BTreeMap<PathBuf, usize> = BTreeMap::new();
+    for proxy in 0..proxies {
+        let gateway = root.gateway(&name(proxy));
+        std::fs::create_dir_all(&gateway).map_err(io("a directory"))?;
+        watcher.add(&gateway).map_err(io("a watch"))?;
+        places.insert(gateway, proxy);
+    }
+    let swap_list = |version: u64, draining: &BTreeSet<usize>| -> Result<(), DrillError> {
+        let text = wheelspread_xds::nodes::write(&list(version, nodes, draining))
+            .map_err(|error| DrillError::NotReady(error.to_string()))?;
+        swap::place(&directory.path().join("nodes.json"), &text).map_err(io("the list"))
+    };
+    swap_list(1, &BTreeSet::new())?;
+    let path = directory.path().join("conductor.yaml");
+    std::fs::write(&path, file(&listen.to_string(), proxies)).map_err(io("a file"))?;
+    let mut child = Command::new(program)
+        .arg("run")
+        .arg(&path)
+        .stdin(Stdio::null())
+        .spawn()
+        .map_err(io("the conductor"))?;
+    let mut stage = Stage {
+        poll: &mut poll,
+        watcher: &mut watcher,
+        places: &places,
+        peers: Vec::new(),
+        root: &root,
+        listen: (listen.ip().octets(), listen.port()),
+    };
+    let result = stage.rounds(nodes, proxies, rounds, child.id(), &swap_list);
+    let _ = child.kill();
+    let _ = child.wait();
+    result
+}
+
+struct Stage<'a> {
+    poll: &'a mut Poll,
+    watcher: &'a mut Watcher,
+    places: &'a BTreeMap<PathBuf, usize>,
+    peers: Vec<Peer>,
+    root: &'a Root,
+    listen: ([u8; 4], u16),
+}
+
+impl Stage<'_> {
+    /// Lets streams go on until `until`; proxies whose links were swapped, and when.
+    fn turn(&mut self, until: Moment, mut swapped: impl FnMut(usize, Moment) -> bool) {
+        let mut ready = Vec::new();
+        loop {
+            let now = reactor::now();
+            if now >= until || self.poll.wait(until - now, &mut ready).is_err() {
+                return;
+            }
+            let now = reactor::now();
+            for ready in ready.drain(..) {
+                if ready.token != WATCHER {
+                    let peer = &mut self.peers[ready.token.0 as usize];
+                    let (events, _) = peer.connection.turn(now);
+                    peer.accepted |= events.iter().any(|event| matches!(event, ClientEvent::Message { .. }));
+                    continue;
+                }
+                for moved in self.watcher.moved().unwrap_or_default() {
+                    let Moved::Into { directory, name } = moved else { continue };
+                    if name == CURRENT
+                        && self.places.get(&directory).is_some_and(|proxy| swapped(*proxy, now))
+                    {
+                        return;
+                    }
+                }
+            }
+        }
+    }
+
+    fn rounds(
+        &mut self,
+        nodes: usize,
+        proxies: usize,
+        rounds: u32,
+        pid: u32,
+        swap_list: &dyn Fn(u64, &BTreeSet<usize>) -> Result<(), DrillError>,
+    ) -> Result<Measured, DrillError> {
+        let seconds = Span::from_seconds;
+        let patience = reactor::now() + seconds(10.0);
+        while std::net::TcpStream::connect((std::net::Ipv4Addr::from(self.listen.0), self.listen.1)).is_err()
+        {
+            if reactor::now() > patience {
+                return Err(DrillError::NotReady("the conductor does not listen".to_string()));
+            }
+            std::thread::sleep(std::time::Duration::from_millis(10));
+        }
+        let begin = reactor::now();
+        for proxy in 0..proxies {
+            let io = |source| DrillError::Io { what: "a stream".to_string(), source };
+            let socket = reactor::connect(self.listen.0, self.listen.1).map_err(io)?;
+            self.poll.add(&socket, Token(proxy as u64), Interest::Edges).map_err(io)?;
+            let mut connection = ClientConnection::new(begin, socket, loads::METHOD, Limits::default());
+            let who =
+                Introduction { name: name(proxy), zone: ZONES[proxy % 3].to_string(), usual_rate: None };
+            connection.send(&loads::introduce(&who).encode_to_vec());
+            self.peers.push(Peer { connection, zone: proxy % 3, accepted: false });
+        }
+        let mut first: BTreeSet<usize> = BTreeSet::new();
+        let mut last = begin;
+        self.turn(begin + seconds(20.0), |proxy, at| {
+            if first.insert(proxy) {
+                last = at;
+            }
+            first.len() == proxies
+        });
+        if first.len() < proxies {
+            let text = format!("{} of {proxies} proxies got tables", first.len());
+            return Err(DrillError::NotReady(text));
+        }
+        let all_joined_ms = (last - begin).seconds() * 1e3;
+        let mut told: BTreeMap<usize, Vec<u8>> = BTreeMap::new();
+        for zone in 0..3.min(proxies) {
+            let held = read_tables(&self.root.gateway(&name(zone))).ok().flatten();
+            let lines =
+                held.map(|held| held.orders.operations[0].lines.iter().map(|line| line.node).collect());
+            told.insert(zone, report(&lines.unwrap_or_else(Vec::new)));
+        }
+        let mut times = Histogram::<u64>::new(3).map_err(|error| DrillError::NotReady(error.to_string()))?;
+        let mut swaps = 0;
+        let (cpu_before, since) = (cpu_of(pid), reactor::now());
+        for round in 0..rounds {
+            let at = reactor::now();
+            for (number, peer) in self.peers.iter_mut().enumerate() {
+                peer.connection.send(&told[&peer.zone]);
+                peer.connection.turn(at);
+                debug_assert!(peer.accepted, "stream {number}");
+            }
+            self.turn(at + seconds(0.6), |_, _| false);
+            // One node drains and the one before it comes back: lines of every table change.
+            let draining = BTreeSet::from([(round as usize * 7) % nodes]);
+            let at = reactor::now();
+            swap_list(u64::from(round) + 2, &draining)?;
+            let mut seen = BTreeSet::new();
+            let mut came = Vec::new();
+            self.turn(at + seconds(0.4), |proxy, now| {
+                if seen.insert(proxy) {
+                    came.push(now - at);
+                }
+                false
+            });
+            for span in came {
+                swaps += 1;
+                let _ = times.record(span.micros().max(1) as u64);
+            }
+        }
+        let spent = (reactor::now() - since).seconds();
+        Ok(Measured {
+            nodes,
+            proxies,
+            list_to_link_ms_p50: times.value_at_quantile(0.5) as f64 / 1e3,
+            list_to_link_ms_p99: times.value_at_quantile(0.99) as f64 / 1e3,
+            swaps,
+            cpu: (cpu_of(pid) - cpu_before) / spent,
+            all_joined_ms,
+        })
+    }
+}
--- a/crates/reactor/src/lib.rs
+++ b/crates/reactor/src/lib.rs
@@ -170,11 +170,18 @@
     }
 }
 
+/// Connections that may wait to be accepted: all proxies of a large fleet may come at once.
+const BACKLOG: i32 = 4096;
+
 /// A listener that never blocks.
 pub fn listen(address: SocketAddrV4) -> io::Result<TcpListener> {
-    let listener = TcpListener::bind(address)?;
-    listener.set_nonblocking(true)?;
-    Ok(listener)
+    use rustix::net::{AddressFamily, SocketFlags, SocketType};
+    let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
+    let socket = rustix::net::socket_with(AddressFamily::INET, SocketType::STREAM, flags, None)?;
+    rustix::net::sockopt::set_socket_reuseaddr(&socket, true)?;
+    rustix::net::bind(&socket, &address)?;
+    rustix::net::listen(&socket, BACKLOG)?;
+    Ok(TcpListener::from(socket))
 }
 
 /// All connections that wait; an accept that fails for want of descriptors is told.
