--- a/crates/drill/src/run.rs
+++ b/crates/drill/src/run.rs
@@ -686,7 +686,10 @@
             }
             TroubleKind::Preempt => {
                 let out = self.some_nodes(part);
-                self.at(at, Step::Swap { out });
+                let every = trouble.span * (1.0 / out.len().max(1) as f64);
+                for (number, node) in out.into_iter().enumerate() {
+                    self.at(at + every * number as f64, Step::Swap { out: vec![node] });
+                }
             }
             TroubleKind::Grow => {
                 let count = ((self.fleet.len() as f64 * part.min(size.max(0.05))).round() as usize).max(1);
--- a/crates/session/src/session.rs
+++ b/crates/session/src/session.rs
@@ -269,7 +269,7 @@
             Observation::List(list) => self.list(now, list),
             Observation::StreamOpened { stream, who } => self.opened(now, stream, &who),
             Observation::StreamClosed { stream } => self.closed(now, stream),
-            Observation::Report { stream, report } => self.report(stream, &report),
+            Observation::Report { stream, report } => self.report(now, stream, &report),
             Observation::Status { proxy, version, refused } => self.status(proxy, version, refused),
             Observation::Pointed { proxy, version, result } => self.was_pointed(now, proxy, version, result),
             Observation::Pace { lines_per_second } => self.channel.set_pace(lines_per_second),
@@ -288,17 +288,22 @@
 
     fn list(&mut self, now: Moment, list: Result<NodeList, String>) {
         let first = !std::mem::replace(&mut self.started, true);
-        match self.nodes.take(now, list, &self.plan, first) {
-            Ok(event) => {
-                let Event::List { entries, .. } = &event else { return };
-                let changes = entries.len();
-                self.hear(now, &event);
-                let ready = self.nodes.listed().filter(|(record, _)| !record.draining).count();
-                self.log(Notice::ListTaken { version: self.nodes.version().to_string(), ready, changes });
-                self.prune_at = self.prune_at.or(Some(now + self.plan.rules.drain_grace * PRUNE_AFTER));
-            }
-            Err(refusal) => self.log(Notice::ListRefused { reason: refusal.to_string() }),
+        let outcome = self.nodes.take(now, list, &self.plan, first);
+        if let Some(refusal) = outcome.refusal {
+            self.log(Notice::ListRefused { reason: refusal.to_string() });
         }
+        if let Some(event) = outcome.event {
+            self.listed(now, &event);
+        }
+    }
+
+    fn listed(&mut self, now: Moment, event: &Event) {
+        let Event::List { entries, .. } = event else { return };
+        self.hear(now, event);
+        let ready = self.nodes.listed().filter(|(record, _)| !record.draining).count();
+        let version = self.nodes.version().to_string();
+        self.log(Notice::ListTaken { version, ready, changes: entries.len() });
+        self.prune_at = self.prune_at.or(Some(now + self.plan.rules.drain_grace * PRUNE_AFTER));
     }
 
     fn opened(&mut self, now: Moment, stream: StreamId, who: &Introduction) {
@@ -333,7 +338,7 @@
         self.log(Notice::Left { proxy });
     }
 
-    fn report(&mut self, stream: StreamId, report: &Report) {
+    fn report(&mut self, now: Moment, stream: StreamId, report: &Report) {
         let Some((name, member)) = self.members.of_stream(stream) else { return };
         let (name, id, zone) = (name.to_string(), member.id, member.zone);
         let before = self.sums.unknown_nodes;
@@ -346,6 +351,12 @@
         } else if self.sums.unknown_nodes > before && before == 0 {
             self.log(Notice::UnknownNodes { count: self.sums.unknown_nodes });
         }
+        if self.nodes.doubted_until(&self.plan).is_some() {
+            let met = report.operations.iter().flat_map(|operation| &operation.nodes);
+            for node in met.filter(|met| met.succeeded > 0).filter_map(|met| met.node) {
+                self.nodes.answered(node, now - report.over);
+            }
+        }
     }
 
     fn status(&mut self, proxy: String, version: Version, refused: Option<String>) {
@@ -383,6 +394,10 @@
 
     /// Lets the module decide if it is time to, and writes what is to be done to `out`.
     pub fn settle(&mut self, now: Moment, out: &mut Vec<Effect>) {
+        if let Some(event) = self.nodes.resolve(now, &self.plan) {
+            self.listed(now, &event);
+            self.stirred = true;
+        }
         if self.started && now >= self.next_settle && (self.stirred || self.due(now)) {
             // The module takes in news that come close upon each other in one go: it is asked once more.
             let echo = self.stirred.then_some(now + self.plan.sums.period * ECHO);
@@ -621,8 +636,9 @@
         if self.stirred && self.started {
             at = at.min(self.next_settle);
         }
-        let times =
-            [self.timers.first().map(|(at, _)| *at), self.marks.wake_at(), self.prune_at, self.echo_at];
+        let doubted = self.nodes.doubted_until(&self.plan);
+        let timer = self.timers.first().map(|(at, _)| *at);
+        let times = [timer, self.marks.wake_at(), self.prune_at, self.echo_at, doubted];
         for due in times.into_iter().flatten() {
             at = at.min(due.max(self.next_settle));
         }
