--- a/crates/conductor/src/service.rs
+++ b/crates/conductor/src/service.rs
@@ -246,6 +246,9 @@
                 Done::Pointed { proxy, version, result } => {
                     self.session.observe(now, Observation::Pointed { proxy, version, result });
                 }
+                Done::Unsynced { version } => {
+                    warn!(version = version.0, "pointed at before the disk said that it has it: it is slow");
+                }
                 Done::NotRetired { version, reason } => {
                     warn!(version = version.0, reason, "an old version can't be removed");
                 }
--- a/crates/files/src/swap.rs
+++ b/crates/files/src/swap.rs
@@ -66,7 +66,9 @@
             Step::MakeDraft => (draft.clone(), make_draft(&draft)),
             Step::WriteEndpoints => (draft.join(EDS), write(&draft.join(EDS), &self.documents.eds)),
             Step::WriteRoutes => (draft.join(RDS), write(&draft.join(RDS), &self.documents.rds)),
-            Step::SyncDraft => (draft.clone(), sync(&draft)),
+            Step::SyncDraft => {
+                (draft.clone(), sync(&draft.join(EDS)).and(sync(&draft.join(RDS))).and(sync(&draft)))
+            }
             Step::NameVersion => {
                 let named = self.root.version(self.version);
                 (named.clone(), fs::rename(&draft, &named))
@@ -80,9 +82,27 @@
 
     /// All that is still to be done: a version that lies there already is only pointed at.
     pub fn run(&self) -> Result<(), Failed> {
+        self.run_with(&mut |files| files.iter().try_for_each(File::sync_all))
+    }
+
+    /// The same, with `sync` to say when enough is on the disk.
+    pub fn run_with(&self, sync: &mut dyn FnMut(Vec<File>) -> io::Result<()>) -> Result<(), Failed> {
         let written = self.root.version(self.version).is_dir();
         let skip = |step: &&Step| !written || matches!(step, Step::MakeLink | Step::SwapLink);
-        STEPS.iter().filter(skip).try_for_each(|step| self.step(*step))
+        for step in STEPS.iter().filter(skip) {
+            let paths = match step {
+                Step::SyncDraft => vec![self.draft().join(EDS), self.draft().join(RDS), self.draft()],
+                Step::SyncVersions => vec![self.root.versions()],
+                step => {
+                    self.step(*step)?;
+                    continue;
+                }
+            };
+            let files: io::Result<Vec<File>> = paths.iter().map(File::open).collect();
+            let path = paths[0].clone();
+            files.and_then(&mut *sync).map_err(|error| Failed { step: *step, path, text: plain(&error) })?;
+        }
+        Ok(())
     }
 }
 
@@ -96,13 +116,11 @@
 }
 
 fn write(path: &Path, text: &str) -> io::Result<()> {
-    let mut file = File::create(path)?;
-    file.write_all(text.as_bytes())?;
-    file.sync_all()
+    File::create(path)?.write_all(text.as_bytes())
 }
 
-fn sync(directory: &Path) -> io::Result<()> {
-    File::open(directory)?.sync_all()
+fn sync(path: &Path) -> io::Result<()> {
+    File::open(path)?.sync_all()
 }
 
 fn make_link(gateway: &Path, link: &Path, version: Version) -> io::Result<()> {
@@ -118,6 +136,7 @@
 pub fn replace(path: &Path, text: &str) -> io::Result<()> {
     let draft = draft_of(path)?;
     write(&draft, text)?;
+    sync(&draft)?;
     fs::rename(&draft, path)
 }
 
--- a/crates/files/src/writer.rs
+++ b/crates/files/src/writer.rs
@@ -1,13 +1,17 @@
 //! The one thread that writes. A disk may take seconds to say that something is on it; the loop that
-//! decides does not wait for it. Jobs go one way, what came of them the other.
+//! decides does not wait for it, and proxies wait for it only so long: a table in time counts for more than
+//! one that outlives a loss of power, after which it would be written anew. Jobs go one way, what came of
+//! them the other.
 
 use crate::swap::Swap;
 use crate::Root;
 use std::collections::BTreeMap;
+use std::fs::File;
 use std::io;
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::Arc;
 use std::thread::JoinHandle;
+use std::time::Duration;
 use wheelspread_reactor::Waker;
 use wheelspread_session::book::{TableSet, Version};
 use wheelspread_session::Deployment;
@@ -21,8 +25,19 @@
 
 #[derive(Debug)]
 pub enum Done {
-    Pointed { proxy: String, version: Version, result: Result<(), String> },
-    NotRetired { version: Version, reason: String },
+    Pointed {
+        proxy: String,
+        version: Version,
+        result: Result<(), String>,
+    },
+    NotRetired {
+        version: Version,
+        reason: String,
+    },
+    /// A version was pointed at before the disk said that it has it.
+    Unsynced {
+        version: Version,
+    },
 }
 
 pub struct Writer {
@@ -38,14 +53,15 @@
     pub fn start(root: Root, plan: Deployment, waker: Waker) -> io::Result<Writer> {
         let (jobs, to_do) = channel::<Job>();
         let (told, done) = channel();
+        let disk = Disk::start(plan.channel.delay_at_most.seconds() * PATIENCE, File::sync_all)?;
         let work = move || {
-            let mut desk = Desk { root, plan, documents: BTreeMap::new() };
+            let mut desk = Desk { root, plan, documents: BTreeMap::new(), disk };
             for job in to_do {
-                if let Some(done) = desk.carry_out(job) {
+                for done in desk.carry_out(job) {
                     // The other side is gone only when the program ends.
                     let _ = told.send(done);
-                    waker.wake();
                 }
+                waker.wake();
             }
         };
         let thread = std::thread::Builder::new().name("writer".to_string()).spawn(work)?;
@@ -72,28 +88,87 @@
     }
 }
 
+/// Of the longest delay of a message: how long the disk is waited for.
+const PATIENCE: f64 = 0.5;
+
+/// The disk, asked by a thread of its own.
+struct Disk {
+    to: Sender<Vec<File>>,
+    from: Receiver<io::Result<()>>,
+    patience: Duration,
+    /// Answers that have not come yet.
+    open: usize,
+    /// Whether the last question was left unanswered.
+    left: bool,
+}
+
+impl Disk {
+    fn start(patience: f64, sync: impl Fn(&File) -> io::Result<()> + Send + 'static) -> io::Result<Disk> {
+        let (to, asked) = channel::<Vec<File>>();
+        let (told, from) = channel();
+        let work = move || {
+            for files in asked {
+                if told.send(files.iter().try_for_each(&sync)).is_err() {
+                    return;
+                }
+            }
+        };
+        std::thread::Builder::new().name("disk".to_string()).spawn(work)?;
+        Ok(Disk { to, from, patience: Duration::from_secs_f64(patience), open: 0, left: false })
+    }
+
+    /// Waits until the files are on the disk, or long enough. While older answers are still out it does not
+    /// wait at all: the disk is slow, and each version would be late by as much again.
+    fn sync(&mut self, files: Vec<File>) -> io::Result<()> {
+        for late in self.from.try_iter() {
+            self.open = self.open.saturating_sub(1);
+            self.left |= late.is_err();
+        }
+        if self.to.send(files).is_err() {
+            return Err(io::Error::other("the thread that asks the disk is gone"));
+        }
+        self.open += 1;
+        if self.open > 1 {
+            self.left = true;
+            return Ok(());
+        }
+        match self.from.recv_timeout(self.patience) {
+            Ok(result) => {
+                self.open -= 1;
+                result
+            }
+            Err(_) => {
+                self.left = true;
+                Ok(())
+            }
+        }
+    }
+}
+
 struct Desk {
     root: Root,
     plan: Deployment,
     documents: BTreeMap<Version, Documents>,
+    disk: Disk,
 }
 
 impl Desk {
-    fn carry_out(&mut self, job: Job) -> Option<Done> {
+    fn carry_out(&mut self, job: Job) -> Vec<Done> {
         match job {
             Job::Point { proxy, set } => {
                 let version = set.version;
                 let result = self.point(&proxy, &set);
-                Some(Done::Pointed { proxy, version, result })
+                let unsynced = std::mem::take(&mut self.disk.left).then_some(Done::Unsynced { version });
+                unsynced.into_iter().chain([Done::Pointed { proxy, version, result }]).collect()
             }
             Job::Retire { version } => {
                 let result = std::fs::remove_dir_all(self.root.version(version));
                 self.documents.remove(&version);
                 match result {
                     Err(error) if error.kind() != io::ErrorKind::NotFound => {
-                        Some(Done::NotRetired { version, reason: error.to_string() })
+                        vec![Done::NotRetired { version, reason: error.to_string() }]
                     }
-                    _ => None,
+                    _ => Vec::new(),
                 }
             }
         }
@@ -108,7 +183,8 @@
             self.documents.insert(set.version, documents);
         }
         let documents = &self.documents[&set.version];
-        Swap::new(&self.root, set.version, documents, proxy).run().map_err(|error| error.to_string())
+        let swap = Swap::new(&self.root, set.version, documents, proxy);
+        swap.run_with(&mut |files| self.disk.sync(files)).map_err(|error| error.to_string())
     }
 }
 
--- a/crates/files/src/writer/tests.rs
+++ b/crates/files/src/writer/tests.rs
@@ -43,7 +43,8 @@
     let directory = tempfile::tempdir().expect("a directory");
     let root = Root::new(directory.path());
     root.prepare().expect("an empty root");
-    (directory, Desk { root, plan: plan(), documents: BTreeMap::new() })
+    let disk = Disk::start(5.0, File::sync_all).expect("a thread");
+    (directory, Desk { root, plan: plan(), documents: BTreeMap::new(), disk })
 }
 
 fn held(root: &Root) -> (u64, usize) {
@@ -158,6 +159,35 @@
     assert!(seen.join().expect("it saw nothing wrong") > 0);
 }
 
+// Seconds for each sync: tables still come in time, whole, and it is told that they were not synced.
+#[test]
+fn a_disk_that_takes_seconds_holds_up_no_table() {
+    let (_directory, mut desk) = desk();
+    let slow = |_: &File| {
+        std::thread::sleep(Duration::from_secs(2));
+        Ok(())
+    };
+    desk.disk = Disk::start(0.1, slow).expect("a thread");
+    let begin = std::time::Instant::now();
+    for version in 1..20 {
+        let done = desk.carry_out(Job::Point { proxy: "g1".to_string(), set: Arc::new(set(version)) });
+        assert!(
+            matches!(&done[..], [Done::Unsynced { .. }, Done::Pointed { result: Ok(()), .. }]),
+            "{done:?}"
+        );
+        assert_eq!(held(&desk.root), (version, version as usize));
+    }
+    assert!(begin.elapsed() < Duration::from_secs(1), "{:?}", begin.elapsed());
+}
+
+#[test]
+fn a_disk_that_fails_to_sync_is_named() {
+    let (_directory, mut desk) = desk();
+    desk.disk = Disk::start(5.0, |_| Err(io::Error::from_raw_os_error(28))).expect("a thread");
+    let reason = desk.point("g1", &set(1)).expect_err("it fails");
+    assert!(reason.contains("SyncDraft") && reason.contains("the disk is full"), "{reason}");
+}
+
 #[test]
 fn a_status_is_swapped_in_whole() {
     let (_directory, desk) = desk();
