--- a/crates/drill/src/measure.rs
+++ b/crates/drill/src/measure.rs
@@ -142,6 +142,9 @@
     result
 }
 
+/// Swaps in a list of a version with these nodes draining.
+type SwapList<'a> = dyn Fn(u64, &BTreeSet<usize>) -> Result<(), DrillError> + 'a;
+
 struct Stage<'a> {
     poll: &'a mut Poll,
     watcher: &'a mut Watcher,
@@ -186,7 +189,7 @@
         proxies: usize,
         rounds: u32,
         pid: u32,
-        swap_list: &dyn Fn(u64, &BTreeSet<usize>) -> Result<(), DrillError>,
+        swap_list: &SwapList,
     ) -> Result<Measured, DrillError> {
         let seconds = Span::from_seconds;
         let patience = reactor::now() + seconds(10.0);
@@ -226,7 +229,7 @@
             let held = read_tables(&self.root.gateway(&name(zone))).ok().flatten();
             let lines =
                 held.map(|held| held.orders.operations[0].lines.iter().map(|line| line.node).collect());
-            told.insert(zone, report(&lines.unwrap_or_else(Vec::new)));
+            told.insert(zone, report(&lines.unwrap_or_default()));
         }
         let mut times = Histogram::<u64>::new(3).map_err(|error| DrillError::NotReady(error.to_string()))?;
         let mut swaps = 0;
