--- a/crates/drill/src/measure.rs
+++ b/crates/drill/src/measure.rs
@@ -227,7 +227,7 @@
         let mut told: BTreeMap<usize, Vec<u8>> = BTreeMap::new();
         for zone in 0..3.min(proxies) {
             let held = read_tables(&self.root.gateway(&name(zone))).ok().flatten();
-            let lines =
+            let lines: Option<Vec<NodeId>> =
                 held.map(|held| held.orders.operations[0].lines.iter().map(|line| line.node).collect());
             told.insert(zone, report(&lines.unwrap_or_default()));
         }
