--- a/crates/drill/src/lib.rs
+++ b/crates/drill/src/lib.rs
@@ -6,6 +6,7 @@
 mod clients;
 mod even;
 mod gateways;
+pub mod load;
 mod measure;
 mod node;
 mod records;
