--- a/crates/solve/src/flow.rs
+++ b/crates/solve/src/flow.rs
@@ -137,7 +137,7 @@
         free[end] -= amount;
         flows.paths += 1;
     }
-    prices(&mut flows, &left, &free, count, places, &gain, (nothing, equal));
+    prices(&mut flows, &left, &free, &gain, (nothing, equal));
     flows
 }
 
@@ -147,29 +147,27 @@
     flows: &mut Flows,
     left: &[f64],
     free: &[f64],
-    count: usize,
-    places: usize,
     gain: &dyn Fn(usize, usize) -> Option<f64>,
     (nothing, equal): (f64, f64),
 ) {
+    let (count, places) = (left.len(), free.len());
     let mut source_price = vec![0.0f64; count];
     let mut room_price = vec![0.0f64; places];
-    // A room that is full costs what the best that is kept out of it, or could move into it, would gain.
-    for _ in 0..=2 * (count + 2) {
+    // From below: a room is worth what the best that could move into it would gain over what it has now.
+    // Each round carries that one room further; a path visits no source twice.
+    for _ in 0..=count + 1 {
+        for source in 0..count {
+            let used = (0..places).filter(|room| flows.work[source][*room] > nothing);
+            let least = used.filter_map(|room| Some(gain(source, room)? - room_price[room]));
+            source_price[source] =
+                if left[source] > nothing { 0.0 } else { least.fold(f64::INFINITY, f64::min) };
+        }
         let mut moved = false;
         for room in (0..places).filter(|room| free[*room] <= nothing) {
-            let wanted =
-                (0..count).filter_map(|s| Some(gain(s, room)? - source_price[s])).fold(0.0, f64::max);
-            if (wanted - room_price[room]).abs() > equal {
-                room_price[room] = wanted;
-                moved = true;
-            }
-        }
-        for source in (0..count).filter(|source| left[*source] <= nothing) {
-            let best = (0..places).filter_map(|room| Some(gain(source, room)? - room_price[room]));
-            let most = best.fold(0.0, f64::max);
-            if most > source_price[source] + equal {
-                source_price[source] = most;
+            let wanted = (0..count).filter_map(|source| Some(gain(source, room)? - source_price[source]));
+            let most = wanted.fold(0.0, f64::max);
+            if most > room_price[room] + equal {
+                room_price[room] = most;
                 moved = true;
             }
         }
@@ -177,5 +175,10 @@
             break;
         }
     }
+    // Who asks for nothing is worth what a little of it would gain.
+    for (source, price) in source_price.iter_mut().enumerate().filter(|(_, price)| **price == f64::INFINITY) {
+        let best = (0..places).filter_map(|room| Some(gain(source, room)? - room_price[room]));
+        *price = best.fold(0.0, f64::max);
+    }
     (flows.source_price, flows.room_price) = (source_price, room_price);
 }
--- a/crates/solve/src/steady.rs
+++ b/crates/solve/src/steady.rs
@@ -69,12 +69,16 @@
             MOVES.iter().find(|row| (row.0, row.1) == (stands, input)).map_or(Effect::Keep, |row| row.2);
         match effect {
             Effect::LeaveOut => {}
-            Effect::Keep => drop(next.insert(id.clone(), held)),
+            Effect::Keep => {
+                next.insert(id.clone(), held);
+            }
             Effect::Step => {
                 let most = held * how.step;
-                drop(next.insert(id.clone(), held + (wanted - held).clamp(-most, most)));
+                next.insert(id.clone(), held + (wanted - held).clamp(-most, most));
+            }
+            Effect::Begin => {
+                next.insert(id.clone(), wanted * how.step);
             }
-            Effect::Begin => drop(next.insert(id.clone(), wanted * how.step)),
         }
     }
     next
--- /dev/null
+++ b/crates/solve/tests/reference.rs
@@ -0,0 +1,215 @@
+//! The method beside a plain solver of linear programs, on random problems, and fleets whose answer is known.
+
+use microlp::{ComparisonOp, OptimizationDirection, Problem};
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+use test_case::test_case;
+use wheelspread_solve::flow::{best, Room, Source};
+use wheelspread_solve::{solve, Fleet, Gateway, Host, HostState, Operation, Refused, Status};
+
+fn reference(sources: &[Source], rooms: &[Room]) -> f64 {
+    let mut problem = Problem::new(OptimizationDirection::Maximize);
+    let mut vars = vec![vec![None; rooms.len()]; sources.len()];
+    for (s, source) in sources.iter().enumerate() {
+        for (r, room) in rooms.iter().enumerate() {
+            if let Some(gain) = source.gains[room.class] {
+                vars[s][r] = Some(problem.add_var(gain - room.cost, (0.0, f64::INFINITY)));
+            }
+        }
+    }
+    for (s, source) in sources.iter().enumerate() {
+        let sum: Vec<_> = vars[s].iter().flatten().map(|var| (*var, 1.0)).collect();
+        problem.add_constraint(&sum[..], ComparisonOp::Le, source.amount);
+    }
+    for (r, room) in rooms.iter().enumerate() {
+        let sum: Vec<_> = vars.iter().filter_map(|of| of[r]).map(|var| (var, 1.0)).collect();
+        problem.add_constraint(&sum[..], ComparisonOp::Le, room.amount);
+    }
+    problem.solve().expect("it has an answer").objective()
+}
+
+fn problem() -> impl Strategy<Value = (Vec<Source>, Vec<Room>)> {
+    (1usize..7, 1usize..12, 1usize..4).prop_flat_map(|(sources, rooms, classes)| {
+        let gain = prop_oneof![1 => Just(None), 5 => (-2.0f64..20.0).prop_map(Some)];
+        let source = (0.0f64..50.0, prop::collection::vec(gain, classes))
+            .prop_map(|(amount, gains)| Source { amount, gains });
+        let room = (0..classes, 0.0f64..30.0, 0.0f64..3.0).prop_map(|(class, amount, cost)| Room {
+            class,
+            amount,
+            cost,
+        });
+        (prop::collection::vec(source, sources), prop::collection::vec(room, rooms))
+    })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(600))]
+
+    #[test]
+    fn the_objective_is_that_of_a_plain_solver_and_the_prices_prove_it((sources, rooms) in problem()) {
+        let flows = best(&sources, &rooms, &mut || false);
+        let mut objective = 0.0;
+        for (s, source) in sources.iter().enumerate() {
+            prop_assert!(flows.work[s].iter().sum::<f64>() <= source.amount * (1.0 + 1e-9) + 1e-9);
+            for (r, room) in rooms.iter().enumerate() {
+                prop_assert!(flows.work[s][r] >= 0.0);
+                match source.gains[room.class] {
+                    Some(gain) => objective += flows.work[s][r] * (gain - room.cost),
+                    None => prop_assert_eq!(flows.work[s][r], 0.0),
+                }
+            }
+        }
+        for (r, room) in rooms.iter().enumerate() {
+            prop_assert!(flows.work.iter().map(|of| of[r]).sum::<f64>() <= room.amount * (1.0 + 1e-9) + 1e-9);
+        }
+        let wanted = reference(&sources, &rooms);
+        prop_assert!((objective - wanted).abs() <= 1e-6 * wanted.abs().max(1.0), "{objective} for {wanted}");
+        // Prices that nothing can beat, and that add up to the objective: a proof of their own.
+        let mut bound = 0.0;
+        for (s, source) in sources.iter().enumerate() {
+            bound += source.amount * flows.source_price[s];
+            for (r, room) in rooms.iter().enumerate() {
+                if let Some(gain) = source.gains[room.class] {
+                    let priced = flows.source_price[s] + flows.room_price[r];
+                    prop_assert!(priced >= gain - room.cost - 1e-6, "{s} to {r}: {priced}");
+                }
+            }
+        }
+        bound += rooms.iter().zip(&flows.room_price).map(|(room, price)| room.amount * price).sum::<f64>();
+        prop_assert!((bound - wanted).abs() <= 1e-6 * wanted.abs().max(1.0), "bound {bound} for {wanted}");
+    }
+}
+
+fn host(id: &str, zone: &str, capacity: f64) -> Host {
+    Host { id: id.into(), zone: zone.into(), capacity, state: HostState::Ready, price: 0.0 }
+}
+
+fn gateway(id: &str, zone: &str, quote: f64, plan: f64) -> Gateway {
+    let demand = BTreeMap::from([("quote".to_string(), quote), ("plan".to_string(), plan)]);
+    Gateway { id: id.into(), zone: zone.into(), demand }
+}
+
+/// Two zones of two hosts each; a quote is worth twice a plan, and both take 0.1 s of work.
+fn fleet(quote: f64, plan: f64) -> Fleet {
+    let operation = |name: &str, billed_value, stays_in_zone| Operation {
+        name: name.into(),
+        billed_value,
+        work: 0.1,
+        stays_in_zone,
+        least_share: 0.1,
+    };
+    Fleet {
+        hosts: vec![host("a1", "a", 4.0), host("a2", "a", 2.0), host("b1", "b", 4.0), host("b2", "b", 2.0)],
+        gateways: vec![gateway("g1", "a", quote, plan), gateway("g2", "b", quote, plan)],
+        operations: vec![operation("quote", 2.0, false), operation("plan", 1.0, true)],
+        cross_zone_price: 0.05,
+        fill_at_most: 0.8,
+        cold_share: 0.2,
+        steps: vec![(0.6, 0.0), (1.0, 0.02)],
+    }
+}
+
+fn admitted(fleet: &Fleet, gateway: &str, operation: &str) -> f64 {
+    let solution = solve(fleet, &mut || false).expect("it can be solved");
+    assert_eq!(solution.status, Status::Optimal);
+    let found = solution.gateways.iter().find(|told| told.id == gateway && told.operation == operation);
+    found.expect("it asks for it").admitted
+}
+
+#[test]
+fn with_room_for_all_hosts_that_are_alike_are_loaded_alike_and_nothing_crosses() {
+    let fleet = fleet(10.0, 10.0);
+    let solution = solve(&fleet, &mut || false).expect("it can be solved");
+    assert!(solution.gateways.iter().all(|told| told.admitted == 1.0));
+    assert!(solution.flows.iter().all(|flow| flow.from == flow.to));
+    for host in &solution.hosts {
+        assert!((host.load / host.capacity - 1.0 / 3.0).abs() < 1e-9 && host.shadow_price == 0.0, "{host:?}");
+    }
+    let a1 = solution.hosts[0].weight / solution.hosts[1].weight;
+    assert!((a1 - 2.0).abs() < 1e-9, "weights as capacities");
+}
+
+#[test]
+fn when_capacity_is_short_a_plan_is_slowed_before_a_quote_is_lost_and_none_is_starved() {
+    // Each zone can do 48 a second and is asked for 60.
+    let short = fleet(40.0, 20.0);
+    assert!((admitted(&short, "g1", "quote") - 1.0).abs() < 1e-9);
+    assert!((admitted(&short, "g1", "plan") - 0.4).abs() < 1e-9);
+    let solution = solve(&short, &mut || false).expect("it can be solved");
+    // One more second of work would be ten plans.
+    let price = solution.hosts[0].shadow_price;
+    assert!((price - (10.0 - 0.02 * 20.0)).abs() < 1e-6, "{price}");
+    assert_eq!(solution.hosts[0].binds, "its capacity");
+    // With far too many quotes the plans still get their least share.
+    assert!((admitted(&fleet(400.0, 20.0), "g1", "plan") - 0.1).abs() < 1e-9);
+}
+
+#[test]
+fn a_zone_that_is_lost_sends_what_may_cross_and_is_told_of_what_may_not() {
+    let mut lost = fleet(20.0, 0.0);
+    lost.hosts.truncate(2);
+    assert!((admitted(&lost, "g2", "quote") - 1.0).abs() < 1e-9);
+    let mut stranded = fleet(20.0, 5.0);
+    stranded.hosts.truncate(2);
+    let refused = solve(&stranded, &mut || false).expect_err("plans of zone b have no host");
+    assert_eq!(refused, Refused::Stranded { zone: "b".into(), operation: "plan".into() });
+}
+
+#[test]
+fn cold_hosts_carry_their_part_and_draining_ones_nothing() {
+    let mut cold = fleet(30.0, 10.0);
+    cold.hosts[0].state = HostState::Cold;
+    cold.hosts[3].state = HostState::Draining;
+    let solution = solve(&cold, &mut || false).expect("it can be solved");
+    assert!(solution.hosts[0].load <= 4.0 * 0.2 * 0.8 + 1e-9);
+    assert_eq!((solution.hosts[3].load, solution.hosts[3].weight), (0.0, 0.0));
+}
+
+#[test]
+fn small_changes_of_input_give_small_changes_of_weights() {
+    let weights = |capacity: f64| {
+        let mut fleet = fleet(35.0, 20.0);
+        fleet.hosts[0].capacity = capacity;
+        solve(&fleet, &mut || false)
+            .expect("it can be solved")
+            .hosts
+            .iter()
+            .map(|h| h.weight)
+            .collect::<Vec<_>>()
+    };
+    for (before, after) in weights(4.0).iter().zip(weights(4.04)) {
+        assert!((before - after).abs() < 0.05, "{before} and {after}");
+    }
+    assert_eq!(weights(4.0), weights(4.0), "ties fall alike");
+}
+
+#[test]
+fn a_deadline_gives_the_best_so_far() {
+    let mut rounds = 0;
+    let mut over = || {
+        rounds += 1;
+        rounds > 2
+    };
+    let cut = solve(&fleet(40.0, 20.0), &mut over).expect("it can be solved");
+    let whole = solve(&fleet(40.0, 20.0), &mut || false).expect("it can be solved");
+    assert_eq!(cut.status, Status::CutShort);
+    assert!(
+        cut.objective <= whole.objective
+            && cut.hosts.iter().all(|host| host.load <= host.capacity * 0.8 + 1e-9)
+    );
+}
+
+#[test_case(|f| f.hosts.clear(), "no host"; "no hosts")]
+#[test_case(|f| f.operations.clear(), "no operation"; "no operations")]
+#[test_case(|f| f.hosts.iter_mut().for_each(|h| h.capacity = 0.0), "no capacity left"; "capacities of zero")]
+#[test_case(|f| f.hosts[1].capacity = f64::NAN, "host `a2`: capacity NaN"; "no number")]
+#[test_case(|f| f.gateways[0] = gateway("g1", "a", -1.0, 0.0), "`g1`: -1 invocations"; "negative demand")]
+#[test_case(|f| f.gateways[1].id = "g1".into(), "gateway `g1` is named twice"; "a gateway twice")]
+#[test_case(|f| f.operations[0].work = 0.0, "work 0 can't be"; "work of nothing")]
+#[test_case(|f| f.steps = vec![(0.5, 0.0)], "steps should rise to 1"; "steps that don't reach the end")]
+fn what_cannot_be_solved_is_named(spoil: fn(&mut Fleet), said: &str) {
+    let mut fleet = fleet(10.0, 10.0);
+    spoil(&mut fleet);
+    let refused = solve(&fleet, &mut || false).expect_err("it can't be").to_string();
+    assert!(refused.contains(said), "{refused}");
+}
