--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,6 +2,7 @@
 
 mod drill;
 mod measure;
+mod solve;
 
 use clap::{Parser, Subcommand};
 use std::path::{Path, PathBuf};
@@ -33,6 +34,8 @@
     },
     /// Plays a bad day on loopback and judges the five rules by what went over the sockets.
     Drill(drill::DrillArguments),
+    /// Solves weights under capacity and cost for a fleet.
+    Solve(solve::SolveArguments),
     /// Measures on this machine what a part of the program costs.
     Measure(measure::MeasureArguments),
 }
@@ -46,6 +49,7 @@
         Command::Check { file } => check(&file),
         Command::Proxy { file } => proxy(&file),
         Command::Drill(arguments) => drill::drill(arguments),
+        Command::Solve(arguments) => solve::solve(arguments),
         Command::Measure(arguments) => measure::measure(arguments),
     }
 }
--- a/crates/cli/src/measure.rs
+++ b/crates/cli/src/measure.rs
@@ -19,6 +19,8 @@
         #[arg(long)]
         json: bool,
     },
+    /// The solver at growing sizes, beside a plain solver of linear programs on the same input.
+    Solve,
     /// The proxy beside the same client sending straight to the node: throughput, delay, CPU, memory; then
     /// side-effecting invocations with faults, whose effects are counted at the nodes.
     Proxy {
@@ -36,6 +38,10 @@
 pub fn measure(arguments: MeasureArguments) -> ExitCode {
     match arguments.what {
         What::Conductor { rounds, json } => conductor(rounds, json),
+        What::Solve => {
+            solver();
+            ExitCode::SUCCESS
+        }
         What::Proxy { seconds, effects } => match proxy(seconds, effects) {
             Ok(()) => ExitCode::SUCCESS,
             Err(error) => {
@@ -136,3 +142,116 @@
         Err("an effect happened twice".to_string())
     }
 }
+
+/// A fleet whose hosts all have prices of their own, so that none can be put together.
+fn fleet(hosts: usize, gateways: usize) -> wheelspread_solve::Fleet {
+    use wheelspread_solve::{Fleet, Gateway, Host, HostState, Operation};
+    let zones = ["a", "b", "c"];
+    // Numbers that look like chance and are the same each time.
+    let drawn = |at: usize, of: u64| {
+        ((at as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15 ^ of) >> 40) as f64 / (1u64 << 24) as f64
+    };
+    let host = |at: usize| Host {
+        id: format!("h{at}"),
+        zone: zones[at % 3].to_string(),
+        capacity: 2.0 + 3.0 * drawn(at, 1),
+        state: HostState::Ready,
+        price: 0.5 * drawn(at, 2),
+    };
+    let rate = 3.2 * hosts as f64 / gateways as f64;
+    let gateway = |at: usize| Gateway {
+        id: format!("g{at}"),
+        zone: zones[at % 3].to_string(),
+        demand: [("quote", 0.6), ("plan", 0.4)]
+            .map(|(name, part)| (name.to_string(), rate / 0.22 * part * (0.5 + drawn(at, 3))))
+            .into(),
+    };
+    let operation = |name: &str, billed_value, stays_in_zone| Operation {
+        name: name.into(),
+        billed_value,
+        work: 0.22,
+        stays_in_zone,
+        least_share: 0.05,
+    };
+    Fleet {
+        hosts: (0..hosts).map(host).collect(),
+        gateways: (0..gateways).map(gateway).collect(),
+        operations: vec![operation("quote", 2.0, false), operation("plan", 1.0, true)],
+        cross_zone_price: 0.04,
+        fill_at_most: 0.85,
+        cold_share: 0.2,
+        steps: vec![(0.6, 0.0), (0.8, 0.01), (1.0, 0.03)],
+    }
+}
+
+/// The same problem, zone by operation to host by step, for the plain solver.
+fn plain(fleet: &wheelspread_solve::Fleet) -> f64 {
+    use microlp::{ComparisonOp, OptimizationDirection, Problem};
+    let mut problem = Problem::new(OptimizationDirection::Maximize);
+    let dearest = fleet.operations.iter().map(|o| o.billed_value / o.work).fold(0.0, f64::max);
+    let mut rooms: Vec<Vec<Vec<(microlp::Variable, f64)>>> =
+        vec![vec![Vec::new(); fleet.steps.len()]; fleet.hosts.len()];
+    for zone in ["a", "b", "c"] {
+        for operation in &fleet.operations {
+            let asked = fleet.gateways.iter().filter(|gateway| gateway.zone == zone);
+            let amount: f64 = asked.map(|gateway| gateway.demand[&operation.name] * operation.work).sum();
+            let mut sum = Vec::new();
+            for (at, host) in fleet.hosts.iter().enumerate() {
+                let away = host.zone != zone;
+                if away && operation.stays_in_zone {
+                    continue;
+                }
+                let crossing = if away { fleet.cross_zone_price } else { 0.0 };
+                let gain = (operation.billed_value - crossing) / operation.work - host.price;
+                for (step, (_, cost)) in fleet.steps.iter().enumerate() {
+                    let var = problem.add_var(gain - cost * dearest, (0.0, f64::INFINITY));
+                    rooms[at][step].push((var, 1.0));
+                    sum.push((var, 1.0));
+                }
+            }
+            problem.add_constraint(&sum[..], ComparisonOp::Le, amount);
+        }
+    }
+    for (host, steps) in fleet.hosts.iter().zip(&rooms) {
+        let mut before = 0.0;
+        for ((until, _), vars) in fleet.steps.iter().zip(steps) {
+            problem.add_constraint(&vars[..], ComparisonOp::Le, fleet.room(host) * (until - before));
+            before = *until;
+        }
+    }
+    problem.solve().map_or(f64::NAN, |solution| solution.objective())
+}
+
+fn solver() {
+    println!(
+        "{:>7}{:>10}{:>12}{:>12}{:>10}{:>14}",
+        "hosts", "gateways", "ours ms", "plain ms", "ratio", "objective off"
+    );
+    let mut times = Vec::new();
+    for (hosts, gateways) in [(32, 27), (100, 84), (318, 267), (1006, 844), (3180, 2670)] {
+        let fleet = fleet(hosts, gateways);
+        let timed = |run: &mut dyn FnMut() -> f64| {
+            let begin = std::time::Instant::now();
+            let objective = run();
+            (begin.elapsed().as_secs_f64() * 1e3, objective)
+        };
+        let solve = || {
+            wheelspread_solve::solve(&fleet, &mut || false).map_or(f64::NAN, |solution| solution.objective)
+        };
+        let (ours, objective) = timed(&mut || solve());
+        times.push((hosts as f64, ours));
+        if hosts <= 1006 {
+            let (theirs, wanted) = timed(&mut || plain(&fleet));
+            let off = (objective - wanted).abs() / wanted.abs();
+            println!("{hosts:>7}{gateways:>10}{ours:>12.2}{theirs:>12.1}{:>10.1}{off:>14.1e}", theirs / ours);
+        } else {
+            println!("{hosts:>7}{gateways:>10}{ours:>12.2}{:>12}{:>10}{:>14}", "-", "-", "-");
+        }
+    }
+    if let [.., middle, _, last] = &times[..] {
+        println!(
+            "time grows with hosts to the power of {:.2}",
+            (last.1 / middle.1).ln() / (last.0 / middle.0).ln()
+        );
+    }
+}
--- a/crates/solve/src/solution.rs
+++ b/crates/solve/src/solution.rs
@@ -81,7 +81,9 @@
             *asked.entry((&gateway.zone, place)).or_insert(0.0) += demand * operation.work;
         }
     }
-    // Rooms: hosts of one zone and price, a class each; each of the steps of filling is a room of its own.
+    // Hosts of one zone and price are one place; each of the steps of filling it is a room, and the rooms of
+    // a zone are a class.
+    let mut zones: Vec<&str> = Vec::new();
     let mut classes: Vec<(&str, f64, f64)> = Vec::new();
     let mut class_of = Vec::new();
     for host in &fleet.hosts {
@@ -90,27 +92,31 @@
             classes.push((&host.zone, host.price, 0.0));
             classes.len() - 1
         });
+        if !zones.contains(&host.zone.as_str()) {
+            zones.push(&host.zone);
+        }
         classes[class].2 += fleet.room(host);
         class_of.push(class);
     }
     let dearest = fleet.operations.iter().map(|o| o.billed_value / o.work).fold(0.0, f64::max);
     let mut rooms = Vec::new();
-    for (class, (_, _, room)) in classes.iter().enumerate() {
+    for (zone, price, room) in &classes {
+        let class = zones.iter().position(|known| known == zone).unwrap_or(0);
         let mut before = 0.0;
         for (until, cost) in &fleet.steps {
-            rooms.push(Room { class, amount: room * (until - before), cost: cost * dearest });
+            rooms.push(Room { class, amount: room * (until - before), cost: cost * dearest + price });
             before = *until;
         }
     }
     let gains = |zone: &str, place: usize, bonus: f64| -> Vec<Option<f64>> {
         let operation = &fleet.operations[place];
-        let to = |class: &(&str, f64, f64)| {
-            let away = class.0 != zone;
+        let to = |to: &&str| {
+            let away = *to != zone;
             let crossing = if away { fleet.cross_zone_price } else { 0.0 };
-            let gain = (operation.billed_value - crossing) / operation.work - class.1;
+            let gain = (operation.billed_value - crossing) / operation.work;
             (!(away && operation.stays_in_zone)).then_some(gain + bonus)
         };
-        classes.iter().map(to).collect()
+        zones.iter().map(to).collect()
     };
     let highest = |price: f64| dearest + price + fleet.steps.last().map_or(0.0, |step| step.1 * dearest);
     let dear = fleet.hosts.iter().map(|host| host.price).fold(0.0, f64::max);
@@ -143,6 +149,8 @@
     bonus: f64,
 ) -> Solution {
     let (mut objective, mut value) = (0.0, 0.0);
+    // The rooms of a place stand one after the other, as many as there are steps.
+    let place_of = |room: usize| room / fleet.steps.len();
     let mut carried = vec![0.0; classes.len()];
     let mut let_in: BTreeMap<(&str, usize), f64> = BTreeMap::new();
     let mut ways: BTreeMap<(usize, &str, &str), f64> = BTreeMap::new();
@@ -156,9 +164,9 @@
             let gain = sources[at].gains[room.class].unwrap_or(0.0);
             objective += work * (gain - room.cost - if wish.least { bonus } else { 0.0 });
             value += work / operation.work * operation.billed_value;
-            carried[room.class] += work;
+            carried[place_of(place)] += work;
             *let_in.entry((&wish.zone, wish.operation)).or_insert(0.0) += work;
-            *ways.entry((wish.operation, &wish.zone, classes[room.class].0)).or_insert(0.0) +=
+            *ways.entry((wish.operation, &wish.zone, classes[place_of(place)].0)).or_insert(0.0) +=
                 work / operation.work;
         }
     }
@@ -170,9 +178,9 @@
         .filter(|(host, class)| fleet.room(host) > 0.0 && carried[**class] > 0.0);
     let busy = busy.count().max(1) as f64;
     let price = |class: usize| {
-        // The last room of a class is the one that its capacity ends in.
-        let last = rooms.iter().rposition(|room| room.class == class);
-        let price = last.and_then(|last| flows.room_price.get(last)).copied().unwrap_or(0.0);
+        // The last room of a place is the one that its capacity ends in.
+        let last = (class + 1) * fleet.steps.len() - 1;
+        let price = flows.room_price.get(last).copied().unwrap_or(0.0);
         // What comes first is told apart from value.
         if price > bonus {
             price - bonus
