Solved weights in the conductor: capacities by kind, mended by sums, listed for the module

A setting turns them on; without it nothing changes. The module orders the way to them as for any listed weight. A solve that fails leaves the last weights.

--- a/crates/conductor/src/log.rs
+++ b/crates/conductor/src/log.rs
@@ -41,6 +41,8 @@
             let nodes = nodes.join(" ");
             warn!(proxy, nodes, "taken out of the files of a proxy that has not come back");
         }
+        Notice::Weighed { nodes } => debug!(nodes, "solved weights listed"),
+        Notice::NotSolved { reason } => warn!(reason, "weights not solved, the last ones stand"),
         Notice::Remark { text } => info!(text, "remark"),
         Notice::NotUsed { reason } => debug!(reason, "event not used"),
     }
--- a/crates/session/src/deployment.rs
+++ b/crates/session/src/deployment.rs
@@ -4,6 +4,7 @@
 
 use crate::spans;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 use wheelspread::facts::{Fact, Facts};
 use wheelspread::time::Span;
 
@@ -183,6 +184,38 @@
     }
 }
 
+/// Work of one invocation.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Work(#[serde(with = "spans")] pub Span);
+
+/// Solved weights, see docs/solver.md.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SolverPlan {
+    /// By kind, seconds of work a second; may be wrong by half.
+    pub capacities: BTreeMap<String, f64>,
+    /// By operation.
+    pub work: BTreeMap<String, Work>,
+    #[serde(default = "two_seconds", with = "spans")]
+    pub every: Span,
+    #[serde(default = "least_share")]
+    pub least_share: f64,
+    #[serde(default = "fill_at_most")]
+    pub fill_at_most: f64,
+}
+
+fn two_seconds() -> Span {
+    Span::from_seconds(2.0)
+}
+
+fn least_share() -> f64 {
+    0.05
+}
+
+fn fill_at_most() -> f64 {
+    0.85
+}
+
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Deployment {
@@ -207,6 +240,9 @@
     /// What a proxy does before it was told: times the latency objective that a first try is waited for.
     #[serde(default = "first_wait")]
     pub first_wait: f64,
+    /// Left out: nodes have the weights that the list gives them.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub solver: Option<SolverPlan>,
 }
 
 fn by_share() -> LevelForm {
@@ -305,6 +341,25 @@
         within(&mut wrong, "channel.lines_per_second", self.channel.lines_per_second, 10.0, 1e9);
         within(&mut wrong, "list.shrinks_at_most", self.list.shrinks_at_most, 0.05, 1.0);
         within(&mut wrong, "first_wait", self.first_wait, 0.1, 100.0);
+        if let Some(solver) = &self.solver {
+            for kind in self.kinds.iter().filter(|kind| !solver.capacities.contains_key(*kind)) {
+                wrong("solver.capacities", format!("kind `{kind}` has none"));
+            }
+            for operation in
+                self.operations.iter().filter(|operation| !solver.work.contains_key(&operation.name))
+            {
+                wrong("solver.work", format!("operation `{}` has none", operation.name));
+            }
+            for (name, capacity) in &solver.capacities {
+                within(&mut wrong, &format!("solver.capacities.{name}"), *capacity, 1e-3, 1e6);
+            }
+            for (name, work) in &solver.work {
+                within(&mut wrong, &format!("solver.work.{name} (seconds)"), work.0.seconds(), 1e-6, 3600.0);
+            }
+            within(&mut wrong, "solver.every (seconds)", solver.every.seconds(), 0.1, 600.0);
+            within(&mut wrong, "solver.least_share", solver.least_share, 0.0, 1.0);
+            within(&mut wrong, "solver.fill_at_most", solver.fill_at_most, 0.05, 1.0);
+        }
         within(&mut wrong, "cross_zone_price", self.cross_zone_price, 0.0, 1.0);
         flaws
     }
@@ -433,6 +488,7 @@
             admission: LevelForm::Share,
             cross_zone_price: 0.02,
             first_wait: 1.0,
+            solver: None,
         }
     }
 
--- a/crates/session/src/lib.rs
+++ b/crates/session/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod session;
 pub mod spans;
 pub mod sums;
+pub mod weigh;
 
 pub use book::{Bundle, Line, TableSet, Version};
 pub use deployment::Deployment;
--- a/crates/session/src/session.rs
+++ b/crates/session/src/session.rs
@@ -9,11 +9,12 @@
 use crate::membership::{Introduction, Membership, StreamId};
 use crate::nodes::{show, NodeList, Nodes};
 use crate::sums::{Report, Sums};
+use crate::weigh::{Weighed, Weigher};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use wheelspread::balance::Balancer;
 use wheelspread::ids::{NodeId, ProxyId, TimerId};
-use wheelspread::interface::{Action, Event, Listing};
+use wheelspread::interface::{Action, Event, ListKind, Listing};
 use wheelspread::time::{Moment, Span};
 
 /// What a proxy's directory held when the conductor started.
@@ -140,6 +141,14 @@
         proxy: String,
         nodes: Vec<String>,
     },
+    /// Solved weights of so many nodes are listed anew.
+    Weighed {
+        nodes: usize,
+    },
+    /// The last good weights stand.
+    NotSolved {
+        reason: String,
+    },
     Remark {
         text: String,
     },
@@ -175,6 +184,7 @@
     channel: Channel,
     marks: Marks,
     sums: Sums,
+    weigher: Weigher,
     timers: BTreeSet<(Moment, TimerId)>,
     next_period: Moment,
     next_settle: Moment,
@@ -218,6 +228,7 @@
             channel: Channel::new(now, &plan.channel),
             marks: Marks::default(),
             sums: Sums::default(),
+            weigher: Weigher::default(),
             timers: BTreeSet::new(),
             next_period: now + plan.sums.period,
             next_settle: now,
@@ -299,7 +310,8 @@
 
     fn listed(&mut self, now: Moment, event: &Event) {
         let Event::List { entries, .. } = event else { return };
-        self.hear(now, event);
+        let weighed = self.weigher.put(event.clone());
+        self.hear(now, &weighed);
         let ready = self.nodes.listed().filter(|(record, _)| !record.draining).count();
         let version = self.nodes.version().to_string();
         self.log(Notice::ListTaken { version, ready, changes: entries.len() });
@@ -427,9 +439,9 @@
             // A loop that stood still for periods makes up for none of them.
             let period = self.plan.sums.period;
             self.next_period = (self.next_period + period).max(now + period * 0.5);
-            for event in self.sums.drain(&self.members) {
-                self.hear(now, &event);
-            }
+            let events = self.sums.drain(&self.members);
+            events.iter().for_each(|event| self.hear(now, event));
+            self.weigh(now, &events);
             for proxy in self.members.forget(now, &self.plan) {
                 self.log(Notice::Forgotten { proxy });
             }
@@ -459,7 +471,7 @@
                 Action::SetTimer { after, timer } => drop(self.timers.insert((now + after, timer))),
                 // The list is watched: what is held is what there is.
                 Action::ReadList => {
-                    let whole = self.nodes.complete();
+                    let whole = self.weigher.put(self.nodes.complete());
                     self.hear(now, &whole);
                 }
                 Action::Remark { text } => self.log(Notice::Remark { text }),
@@ -569,6 +581,20 @@
         }
     }
 
+    /// Where the deployment has weights solved: hears the sums, and now and then lists other weights.
+    fn weigh(&mut self, now: Moment, events: &[Event]) {
+        let Some(solver) = &self.plan.solver else { return };
+        self.weigher.hear(events, &self.plan, solver, &self.members, &self.nodes);
+        match self.weigher.round(now, &self.plan, solver, &self.nodes) {
+            Some(Weighed::Changed(entries)) => {
+                self.log(Notice::Weighed { nodes: entries.len() });
+                self.hear(now, &Event::List { kind: ListKind::Changes, entries });
+            }
+            Some(Weighed::Failed(reason)) => self.log(Notice::NotSolved { reason }),
+            None => {}
+        }
+    }
+
     fn retire(&mut self, now: Moment) {
         let pointed = self.pointed.values().chain(self.sent.values()).map(|set| set.version);
         let strangers = self.strangers.values().map(|set| set.version);
--- a/crates/session/src/tests.rs
+++ b/crates/session/src/tests.rs
@@ -262,3 +262,69 @@
         || started().files.into_iter().map(|(name, set)| (name, set.as_ref().clone())).collect::<Vec<_>>();
     assert_eq!(files(), files());
 }
+
+/// The same fleet with capacities by kind: nodes 1 to 4 are said to do four times what 5 to 8 do.
+fn solving() -> Stage {
+    let mut plan = plan();
+    plan.kinds = vec!["large".to_string(), "small".to_string()];
+    plan.solver = Some(crate::deployment::SolverPlan {
+        capacities: BTreeMap::from([("large".to_string(), 4.0), ("small".to_string(), 1.0)]),
+        work: ["quote", "book"]
+            .map(|name| (name.to_string(), crate::deployment::Work(Span::from_seconds(0.1))))
+            .into(),
+        every: Span::from_seconds(1.0),
+        least_share: 0.05,
+        fill_at_most: 0.85,
+    });
+    let mut stage = Stage::with(plan, Found::default());
+    stage.list(kinds(false));
+    stage.join(1, "n1", "north");
+    stage.join(2, "s1", "south");
+    stage
+}
+
+fn kinds(drains: bool) -> Vec<NodeRecord> {
+    let kind = |port: u16| if port <= 4 { "large" } else { "small" };
+    let of =
+        |port: u16| NodeRecord { kind: kind(port).to_string(), ..record(port, drains && port == 2, 500.0) };
+    (1..=8).map(of).collect()
+}
+
+#[test]
+fn solved_weights_follow_the_capacities_that_were_told_and_mended() {
+    let mut stage = solving();
+    stage.pass(12.0, &[1, 2]);
+    let weights = |stage: &Stage| {
+        let of = |port: u16| stage.session.weigher.weight(node(port)).unwrap_or(1.0);
+        (of(2), of(6))
+    };
+    // One quote every period or so at each of them: little is known, so what was told stands.
+    let (large, small) = weights(&stage);
+    assert!((2.0..6.0).contains(&(large / small)), "{large} beside {small}");
+    assert!(stage.notices.iter().any(|notice| matches!(notice, Notice::Weighed { .. })));
+    assert!(!stage.nodes_of("n1").is_empty());
+}
+
+#[test]
+fn a_solve_that_fails_leaves_the_last_weights_and_is_told() {
+    let mut stage = solving();
+    stage.pass(6.0, &[1, 2]);
+    let before = stage.session.weigher.weight(node(6));
+    // A demand for what no host is left to do can't be solved: every node drains.
+    let records = kinds(false).into_iter().map(|record| NodeRecord { draining: true, ..record }).collect();
+    stage.list(records);
+    stage.pass(4.0, &[1, 2]);
+    let failed =
+        |notice: &Notice| matches!(notice, Notice::NotSolved { reason } if reason.contains("no capacity"));
+    assert!(stage.notices.iter().any(failed));
+    assert_eq!(stage.session.weigher.weight(node(6)), before);
+}
+
+#[test]
+fn with_solved_weights_a_drained_node_leaves_as_soon_as_without() {
+    let mut stage = solving();
+    stage.pass(6.0, &[1, 2]);
+    stage.list(kinds(true));
+    stage.pass(0.5, &[1, 2]);
+    assert!(!stage.nodes_of("n1").contains(&2) && !stage.nodes_of("n1").is_empty());
+}
