--- a/crates/cli/src/measure.rs
+++ b/crates/cli/src/measure.rs
@@ -1,5 +1,8 @@
 //! `wheelspread measure`: figures of this machine, as ratios within one run.
 
+mod conductor;
+mod proxy;
+
 use clap::{Args, Subcommand};
 use std::process::ExitCode;
 
@@ -62,7 +65,7 @@
     };
     let mut all = Vec::new();
     for (nodes, proxies) in SIZES {
-        match wheelspread_drill::measure(&program, nodes, proxies, rounds) {
+        match conductor::measure(&program, nodes, proxies, rounds) {
             Ok(measured) => all.push(measured),
             Err(error) => {
                 eprintln!("{nodes} nodes, {proxies} proxies: {error}");
@@ -111,8 +114,7 @@
         "connections", "way", "per second", "p50 ms", "p99 ms", "p99.9 ms", "CPU us each"
     );
     for connections in [1, 10, 100, 1000] {
-        let ways =
-            wheelspread_drill::measure_proxy(&program, connections, seconds).map_err(|e| e.to_string())?;
+        let ways = proxy::measure_proxy(&program, connections, seconds).map_err(|e| e.to_string())?;
         for way in &ways {
             println!(
                 "{connections:>12}{:>9}{:>12.0}{:>10.3}{:>10.3}{:>10.3}{:>14}",
@@ -130,11 +132,10 @@
             println!("{:>12}  {part:.2} of the direct throughput, {added:.0} us added at the median", "");
         }
     }
-    let (count, bytes) =
-        wheelspread_drill::measure_idle(&program, 10_000).map_err(|error| error.to_string())?;
+    let (count, bytes) = proxy::measure_idle(&program, 10_000).map_err(|error| error.to_string())?;
     println!("{count} idle connections: {:.1} kB each", bytes as f64 / 1e3 / count as f64);
     let (asked, executed, twice) =
-        wheelspread_drill::measure_effects(&program, effects).map_err(|error| error.to_string())?;
+        proxy::measure_effects(&program, effects).map_err(|error| error.to_string())?;
     println!("{asked} side-effecting invocations with faults: {executed} took effect, {twice} twice");
     if twice == 0 {
         Ok(())
@@ -157,6 +158,7 @@
         capacity: 2.0 + 3.0 * drawn(at, 1),
         state: HostState::Ready,
         price: 0.5 * drawn(at, 2),
+        load_at_most: None,
     };
     let rate = 3.2 * hosts as f64 / gateways as f64;
     let gateway = |at: usize| Gateway {
--- a/crates/drill/src/measure.rs
+++ b/crates/cli/src/measure/conductor.rs
@@ -1,8 +1,6 @@
 //! How long a conductor takes from news to renamed files, and what CPU it costs, at two sizes in one run.
 //! Proxies are streams and directories only.
 
-use crate::gateways::name;
-use crate::run::{cpu_of, free_port, DrillError};
 use hdrhistogram::Histogram;
 use prost::Message;
 use serde::Serialize;
@@ -11,6 +9,7 @@
 use std::process::{Command, Stdio};
 use wheelspread::ids::NodeId;
 use wheelspread::time::{Moment, Span};
+use wheelspread_drill::{cpu_of, free_port, gateways::name, DrillError};
 use wheelspread_files::{read_tables, swap, Root, CURRENT};
 use wheelspread_grpc::{ClientConnection, ClientEvent, Limits};
 use wheelspread_reactor::{self as reactor, Interest, Moved, Poll, Token, Watcher};
--- a/crates/drill/src/measure_proxy.rs
+++ b/crates/cli/src/measure/proxy.rs
@@ -1,7 +1,5 @@
 //! What a proxy costs beside the same client that sends straight to the node, in one run.
 
-use crate::load::{load, FastNodes, Faults, Load, Loaded};
-use crate::run::{cpu_of, free_port, DrillError};
 use std::io;
 use std::net::{SocketAddrV4, TcpStream};
 use std::path::Path;
@@ -9,6 +7,8 @@
 use wheelspread::ids::{NodeId, OperationId, TableId};
 use wheelspread::interface::Retry;
 use wheelspread::time::Span;
+use wheelspread_drill::load::{load, FastNodes, Faults, Load, Loaded};
+use wheelspread_drill::{cpu_of, free_port, DrillError};
 use wheelspread_files::{swap::Swap, Root};
 use wheelspread_session::book::{BundleId, Line, OperationTable, TableSet, Version};
 use wheelspread_session::Deployment;
--- a/crates/cli/src/solve.rs
+++ b/crates/cli/src/solve.rs
@@ -5,6 +5,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
+use wheelspread_solve::robust::{guaranteed, hedge, Wrong};
 use wheelspread_solve::{solve as solve_fleet, Fleet, Solution};
 
 #[derive(Args)]
@@ -16,6 +17,9 @@
     /// Why a host got its weight.
     #[arg(long, value_name = "HOST")]
     explain: Option<String>,
+    /// Capacities may be wrong by this part either way: holds back what serves more in the worst case.
+    #[arg(long, value_name = "PART")]
+    wrong_by: Option<f64>,
     /// After so many milliseconds the best so far is told.
     #[arg(long, default_value_t = 1000)]
     deadline_ms: u64,
@@ -49,7 +53,23 @@
     };
     let begin = Instant::now();
     let deadline = begin + Duration::from_millis(arguments.deadline_ms);
-    let solution = match solve_fleet(&fleet, &mut || Instant::now() >= deadline) {
+    let mut over = || Instant::now() >= deadline;
+    let solved = match arguments.wrong_by {
+        None => solve_fleet(&fleet, &mut over),
+        Some(part) if (0.0..1.0).contains(&part) => {
+            let wrong = Wrong { least: 1.0 - part, most: 1.0 / (1.0 - part) };
+            hedge(&fleet, wrong, &mut over).map(|(solution, held)| {
+                let worst = guaranteed(&fleet, &solution, wrong);
+                eprintln!(
+                    "goes by {held:.2} of the capacities; at worst {:.3} a second is served",
+                    worst.value_per_s
+                );
+                solution
+            })
+        }
+        Some(part) => return refuse(format!("--wrong-by {part}: between 0 and 1 is possible")),
+    };
+    let solution = match solved {
         Ok(solution) => solution,
         Err(refused) => return refuse(refused.to_string()),
     };
@@ -93,35 +113,21 @@
 }
 
 fn explain(fleet: &Fleet, solution: &Solution, id: &str) -> ExitCode {
-    let (Some(host), Some(told)) =
-        (fleet.hosts.iter().find(|host| host.id == id), solution.hosts.iter().find(|host| host.id == id))
-    else {
+    let Some(told) = wheelspread_solve::explain::explain(fleet, solution, id) else {
         eprintln!("`{id}` is no host of this fleet");
         return ExitCode::from(BAD_INPUT);
     };
     println!(
-        "{id} in {}: weight {:.3}, {:.3} of {:.3} seconds of work a second",
-        host.zone, told.weight, told.load, host.capacity
+        "{} in {}: weight {:.3}, {:.3} of at most {:.3} seconds of work a second",
+        told.id, told.zone, told.weight, told.load, told.room
     );
+    told.reasons.iter().for_each(|reason| println!("  {reason}"));
     println!(
-        "may be given {:.3}: its capacity, its state ({:?}), fill_at_most {}",
-        fleet.room(host),
-        host.state,
-        fleet.fill_at_most
+        "  loaded alike with: {}",
+        if told.alike.is_empty() { "none".to_string() } else { told.alike.join(", ") }
     );
-    let alike: Vec<&str> = fleet
-        .hosts
-        .iter()
-        .filter(|other| other.zone == host.zone && other.price == host.price && other.id != host.id)
-        .map(|other| other.id.as_str())
-        .collect();
-    println!("loaded alike with: {}", if alike.is_empty() { "none".to_string() } else { alike.join(", ") });
-    for flow in solution.flows.iter().filter(|flow| flow.to == host.zone) {
-        println!("its zone gets {:.2} {} a second from {}", flow.invocations, flow.operation, flow.from);
+    for (operation, from, invocations) in &told.gets {
+        println!("  its zone gets {invocations:.2} {operation} a second from {from}");
     }
-    println!(
-        "bound by: {}; one more second of work a second there is worth {:.3}",
-        told.binds, told.shadow_price
-    );
     ExitCode::SUCCESS
 }
--- a/crates/drill/src/lib.rs
+++ b/crates/drill/src/lib.rs
@@ -5,10 +5,8 @@
 mod audit;
 mod clients;
 mod even;
-mod gateways;
+pub mod gateways;
 pub mod load;
-mod measure;
-mod measure_proxy;
 mod node;
 mod records;
 mod run;
@@ -18,8 +16,6 @@
 
 pub use audit::{judge, Judged, RuleJudged, Verdict};
 pub use even::Sabotage;
-pub use measure::{measure, Measured};
-pub use measure_proxy::{measure_effects, measure_idle, measure_proxy, Way};
 pub use records::{Record, Records};
-pub use run::{run, DrillError, Options, Report};
+pub use run::{cpu_of, free_port, run, DrillError, Options, Report};
 pub use script::{Script, Trouble, TroubleKind, BUILT_IN};
--- a/crates/drill/src/run.rs
+++ b/crates/drill/src/run.rs
@@ -134,7 +134,7 @@
 }
 
 /// A port that is free now.
-pub(crate) fn free_port() -> io::Result<SocketAddrV4> {
+pub fn free_port() -> io::Result<SocketAddrV4> {
     match TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()? {
         std::net::SocketAddr::V4(address) => Ok(address),
         other => Err(io::Error::other(other.to_string())),
@@ -823,7 +823,7 @@
 }
 
 /// CPU seconds of a process so far, by what the kernel tells of it.
-pub(crate) fn cpu_of(pid: u32) -> f64 {
+pub fn cpu_of(pid: u32) -> f64 {
     let stat =
         std::fs::read_to_string(Path::new("/proc").join(pid.to_string()).join("stat")).unwrap_or_default();
     let fields: Vec<&str> = stat.rsplit(')').next().unwrap_or("").split_whitespace().collect();
--- a/crates/session/src/weigh.rs
+++ b/crates/session/src/weigh.rs
@@ -130,6 +130,7 @@
                     _ => HostState::Draining,
                 },
                 price: 0.0,
+                load_at_most: None,
             }
         };
         let zone_of = |zone: &ZoneId| plan.zones.get(usize::from(zone.0)).cloned().unwrap_or_default();
--- a/crates/solve/src/fleet.rs
+++ b/crates/solve/src/fleet.rs
@@ -26,6 +26,9 @@
     /// Value that a second of work costs there.
     #[serde(default)]
     pub price: f64,
+    /// Seconds of work a second that it is given at most, whatever it can do.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub load_at_most: Option<f64>,
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -129,7 +132,9 @@
             if !seen.insert(&host.id) {
                 return Err(Refused::Twice { what: "host", name: host.id.clone() });
             }
-            for (field, value) in [("capacity", host.capacity), ("price", host.price)] {
+            let most = host.load_at_most.unwrap_or(0.0);
+            for (field, value) in [("capacity", host.capacity), ("price", host.price), ("load_at_most", most)]
+            {
                 if !figure(value) {
                     return Err(Refused::Host { id: host.id.clone(), field, value });
                 }
@@ -211,6 +216,6 @@
             HostState::Cold => self.cold_share,
             HostState::Draining => 0.0,
         };
-        host.capacity * part * self.fill_at_most
+        (host.capacity * part * self.fill_at_most).min(host.load_at_most.unwrap_or(f64::INFINITY))
     }
 }
--- a/crates/solve/src/flow.rs
+++ b/crates/solve/src/flow.rs
@@ -4,6 +4,9 @@
 //! wherever it comes from and no flow gains or loses on its way. Rooms of a class differ by their cost
 //! alone, so paths are sought between sources and classes: a few dozen places, however many hosts.
 
+// Sources and classes index several tables side by side, as the method is written down.
+#![allow(clippy::needless_range_loop)]
+
 /// Work that wants a place. `gain` is per unit, to each room by its class; `None`: it may not go there.
 #[derive(Clone, Debug)]
 pub struct Source {
@@ -46,6 +49,9 @@
     Class(usize),
 }
 
+/// Steps of a path: source, class, and whether work comes or goes.
+type Path = Vec<(usize, usize, f64)>;
+
 /// The rooms of one class, cheapest first. To every source they differ by their cost alone, so they fill in
 /// this order whatever flows there: a class is one place that grows dearer as it fills.
 struct Class {
@@ -87,7 +93,7 @@
     }
 
     /// The path of greatest gain from what is left to the next free room of some class, and that gain.
-    fn path(&self) -> Option<(f64, Vec<(usize, usize, f64)>, usize)> {
+    fn path(&self) -> Option<(Path, usize)> {
         let (count, places) = (self.sources.len(), self.classes.len());
         let starts = |source: usize| self.left[source] > self.nothing;
         let mut to_source: Vec<f64> =
@@ -134,7 +140,7 @@
                 end = Some((class, gain));
             }
         }
-        let (end, gain) = end?;
+        let (end, _) = end?;
         let (mut path, mut class) = (Vec::new(), end);
         loop {
             let From::Source(source) = from_class[class] else { return None };
@@ -144,7 +150,7 @@
                     path.push((source, back, -1.0));
                     class = back;
                 }
-                _ => return Some((gain, path, end)),
+                _ => return Some((path, end)),
             }
         }
     }
@@ -197,7 +203,7 @@
             flows.cut_short = true;
             break;
         }
-        let Some((_, path, end)) = desk.path() else { break };
+        let Some((path, end)) = desk.path() else { break };
         desk.push(&path, end);
         flows.paths += 1;
     }
--- a/crates/solve/src/lib.rs
+++ b/crates/solve/src/lib.rs
@@ -4,8 +4,10 @@
 //! deadline as something to ask.
 
 pub mod estimate;
+pub mod explain;
 pub mod fleet;
 pub mod flow;
+pub mod robust;
 pub mod solution;
 pub mod steady;
 
--- a/crates/solve/tests/reference.rs
+++ b/crates/solve/tests/reference.rs
@@ -81,7 +81,14 @@
 }
 
 fn host(id: &str, zone: &str, capacity: f64) -> Host {
-    Host { id: id.into(), zone: zone.into(), capacity, state: HostState::Ready, price: 0.0 }
+    Host {
+        id: id.into(),
+        zone: zone.into(),
+        capacity,
+        state: HostState::Ready,
+        price: 0.0,
+        load_at_most: None,
+    }
 }
 
 fn gateway(id: &str, zone: &str, quote: f64, plan: f64) -> Gateway {
@@ -213,3 +220,37 @@
     let refused = solve(&fleet, &mut || false).expect_err("it can't be").to_string();
     assert!(refused.contains(said), "{refused}");
 }
+
+#[test]
+fn demand_that_doubles_half_the_hosts_cold_and_all_slow_together_are_answered_by_value() {
+    let served = |fleet: &Fleet| solve(fleet, &mut || false).expect("it can be solved").value_per_s;
+    let usual = fleet(25.0, 20.0);
+    assert!((served(&usual) - 2.0 * (25.0 * 2.0 + 20.0)).abs() < 1e-6, "all of it");
+    // Twice as much is asked for: all quotes first, then what is left for plans.
+    let doubled = fleet(50.0, 40.0);
+    let quotes = admitted(&doubled, "g1", "quote");
+    assert!(quotes > 0.85 && admitted(&doubled, "g1", "plan") < 0.15, "{quotes}");
+    assert!(served(&doubled) >= served(&usual));
+    let mut cold = fleet(25.0, 20.0);
+    (0..2).for_each(|at| cold.hosts[2 * at].state = HostState::Cold);
+    assert!(admitted(&cold, "g2", "quote") > admitted(&cold, "g2", "plan"));
+    // All take three times as long: the same hosts in the same parts, less of everything.
+    let mut slow = fleet(25.0, 20.0);
+    slow.hosts.iter_mut().for_each(|host| host.capacity /= 3.0);
+    let solution = solve(&slow, &mut || false).expect("it can be solved");
+    assert!((solution.hosts[0].load / solution.hosts[1].load - 2.0).abs() < 1e-9);
+}
+
+#[test]
+fn a_host_says_why_it_got_its_weight() {
+    use wheelspread_solve::explain::{explain, Reason};
+    let mut short = fleet(40.0, 20.0);
+    short.hosts[1].state = HostState::Draining;
+    short.hosts[3].load_at_most = Some(0.5);
+    let solution = solve(&short, &mut || false).expect("it can be solved");
+    let why = |id: &str| explain(&short, &solution, id).expect("a host").reasons;
+    assert!(matches!(why("a1")[..], [Reason::Full { worth }] if worth > 5.0));
+    assert_eq!(why("a2"), [Reason::Draining]);
+    assert!(matches!(why("b2")[..], [Reason::Limited { load: 0.5 }, Reason::Full { .. }]));
+    assert_eq!(explain(&short, &solution, "nobody"), None);
+}
