--- a/crates/cli/src/measure.rs
+++ b/crates/cli/src/measure.rs
@@ -183,6 +183,8 @@
         fill_at_most: 0.85,
         cold_share: 0.2,
         steps: vec![(0.6, 0.0), (0.8, 0.01), (1.0, 0.03)],
+        standing: std::collections::BTreeMap::new(),
+        change_price: 0.0,
     }
 }
 
--- a/crates/session/src/weigh.rs
+++ b/crates/session/src/weigh.rs
@@ -156,6 +156,8 @@
             fill_at_most: solver.fill_at_most,
             cold_share: plan.rules.cold_start_share,
             steps: vec![(0.6, 0.0), (0.8, 0.01), (1.0, 0.03)],
+            standing: BTreeMap::new(),
+            change_price: 0.0,
         }
     }
 
--- a/crates/solve/src/fleet.rs
+++ b/crates/solve/src/fleet.rs
@@ -74,6 +74,13 @@
     /// that costs, as parts of the highest value of a second of work.
     #[serde(default = "steps")]
     pub steps: Vec<(f64, f64)>,
+    /// What hosts carry now, in seconds of work a second; used with `change_price`.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub standing: BTreeMap<String, f64>,
+    /// Value that a second of work costs which goes to a place that does not carry it now: for less than it
+    /// nothing moves.
+    #[serde(default)]
+    pub change_price: f64,
 }
 
 fn fill() -> f64 {
@@ -105,6 +112,8 @@
     Demand { id: String, operation: String, value: f64 },
     #[error("gateway `{id}` asks for `{operation}`, which is no operation")]
     UnknownOperation { id: String, operation: String },
+    #[error("standing: `{id}` is no host")]
+    UnknownHost { id: String },
     #[error("{field}: {value} can't be")]
     Figure { field: &'static str, value: f64 },
     #[error("steps should rise to 1, their costs too")]
@@ -140,6 +149,7 @@
                 }
             }
         }
+        let seen_hosts = seen;
         let mut names = BTreeSet::new();
         for operation in &self.operations {
             let name = || operation.name.clone();
@@ -175,6 +185,7 @@
         }
         for (field, value, most) in [
             ("cross_zone_price", self.cross_zone_price, 1e9),
+            ("change_price", self.change_price, 1e9),
             ("fill_at_most", self.fill_at_most, 1.0),
             ("cold_share", self.cold_share, 1.0),
         ] {
@@ -182,6 +193,14 @@
                 return Err(Refused::Figure { field, value });
             }
         }
+        for (id, value) in &self.standing {
+            if !seen_hosts.contains(id) {
+                return Err(Refused::UnknownHost { id: id.clone() });
+            }
+            if !figure(*value) {
+                return Err(Refused::Host { id: id.clone(), field: "standing", value: *value });
+            }
+        }
         let rise = self.steps.windows(2).all(|two| two[0].0 < two[1].0 && two[0].1 <= two[1].1);
         let ends = self.steps.first().is_some_and(|step| step.0 > 0.0 && step.1 >= 0.0)
             && self.steps.last().is_some_and(|step| step.0 == 1.0 && step.1.is_finite());
@@ -209,6 +228,12 @@
         Ok(())
     }
 
+    /// What the hosts of one zone and price carry now, all together, as far as they may.
+    pub fn carried_now(&self, zone: &str, price: f64) -> f64 {
+        let alike = self.hosts.iter().filter(|host| host.zone == zone && host.price == price);
+        alike.map(|host| self.standing.get(&host.id).copied().unwrap_or(0.0).min(self.room(host))).sum()
+    }
+
     /// Seconds of work a second that a host may be given.
     pub fn room(&self, host: &Host) -> f64 {
         let part = match host.state {
--- a/crates/solve/src/robust.rs
+++ b/crates/solve/src/robust.rs
@@ -118,6 +118,8 @@
             fill_at_most: 0.8,
             cold_share: 0.2,
             steps: vec![(0.6, 0.0), (1.0, 0.01)],
+            standing: BTreeMap::new(),
+            change_price: 0.0,
         }
     }
 
--- a/crates/solve/src/solution.rs
+++ b/crates/solve/src/solution.rs
@@ -100,12 +100,16 @@
     }
     let dearest = fleet.operations.iter().map(|o| o.billed_value / o.work).fold(0.0, f64::max);
     let mut rooms = Vec::new();
-    for (zone, price, room) in &classes {
+    let mut places = Vec::new();
+    for (place, (zone, price, room)) in classes.iter().enumerate() {
         let class = zones.iter().position(|known| known == zone).unwrap_or(0);
-        let mut before = 0.0;
-        for (until, cost) in &fleet.steps {
-            rooms.push(Room { class, amount: room * (until - before), cost: cost * dearest + price });
-            before = *until;
+        for part in parts(fleet, *room, fleet.carried_now(zone, *price)) {
+            rooms.push(Room {
+                class,
+                amount: part.amount,
+                cost: part.filling * dearest + part.change + price,
+            });
+            places.push(place);
         }
     }
     let gains = |zone: &str, place: usize, bonus: f64| -> Vec<Option<f64>> {
@@ -118,7 +122,9 @@
         };
         zones.iter().map(to).collect()
     };
-    let highest = |price: f64| dearest + price + fleet.steps.last().map_or(0.0, |step| step.1 * dearest);
+    let highest = |price: f64| {
+        dearest + price + fleet.change_price + fleet.steps.last().map_or(0.0, |step| step.1 * dearest)
+    };
     let dear = fleet.hosts.iter().map(|host| host.price).fold(0.0, f64::max);
     let crossing = fleet.operations.iter().map(|o| fleet.cross_zone_price / o.work).fold(0.0, f64::max);
     let bonus = FIRST * (highest(dear) + crossing);
@@ -133,7 +139,36 @@
         }
     }
     let flows = best(&sources, &rooms, over);
-    Ok(told(fleet, &asked, &classes, &class_of, &rooms, &wishes, &sources, &flows, bonus))
+    Ok(told(fleet, &asked, &classes, &class_of, (&rooms, &places), &wishes, &sources, &flows, bonus))
+}
+
+/// A part of what a place may be given, all of which costs the same.
+struct Part {
+    amount: f64,
+    /// As a part of the highest value of a second of work.
+    filling: f64,
+    change: f64,
+}
+
+/// Cuts a place where it grows dearer: at the steps of filling it, and at what it carries now, beyond which
+/// work would have to move here. What stands already is never dearer than what would come, so the parts
+/// fill in their order.
+fn parts(fleet: &Fleet, room: f64, carried: f64) -> Vec<Part> {
+    let mut parts = Vec::new();
+    let mut before = 0.0;
+    for (until, filling) in &fleet.steps {
+        let until = room * until;
+        let stands = carried.clamp(before, until);
+        if stands > before {
+            parts.push(Part { amount: stands - before, filling: *filling, change: 0.0 });
+        }
+        if until > stands || until <= before {
+            let change = if fleet.standing.is_empty() { 0.0 } else { fleet.change_price };
+            parts.push(Part { amount: (until - stands).max(0.0), filling: *filling, change });
+        }
+        before = until;
+    }
+    parts
 }
 
 #[allow(clippy::too_many_arguments)]
@@ -142,15 +177,13 @@
     asked: &BTreeMap<(&str, usize), f64>,
     classes: &[(&str, f64, f64)],
     class_of: &[usize],
-    rooms: &[Room],
+    (rooms, places): (&[Room], &[usize]),
     wishes: &[Wish],
     sources: &[Source],
     flows: &crate::flow::Flows,
     bonus: f64,
 ) -> Solution {
     let (mut objective, mut value) = (0.0, 0.0);
-    // The rooms of a place stand one after the other, as many as there are steps.
-    let place_of = |room: usize| room / fleet.steps.len();
     let mut carried = vec![0.0; classes.len()];
     let mut let_in: BTreeMap<(&str, usize), f64> = BTreeMap::new();
     let mut ways: BTreeMap<(usize, &str, &str), f64> = BTreeMap::new();
@@ -164,9 +197,9 @@
             let gain = sources[at].gains[room.class].unwrap_or(0.0);
             objective += work * (gain - room.cost - if wish.least { bonus } else { 0.0 });
             value += work / operation.work * operation.billed_value;
-            carried[place_of(place)] += work;
+            carried[places[place]] += work;
             *let_in.entry((&wish.zone, wish.operation)).or_insert(0.0) += work;
-            *ways.entry((wish.operation, &wish.zone, classes[place_of(place)].0)).or_insert(0.0) +=
+            *ways.entry((wish.operation, &wish.zone, classes[places[place]].0)).or_insert(0.0) +=
                 work / operation.work;
         }
     }
@@ -179,8 +212,8 @@
     let busy = busy.count().max(1) as f64;
     let price = |class: usize| {
         // The last room of a place is the one that its capacity ends in.
-        let last = (class + 1) * fleet.steps.len() - 1;
-        let price = flows.room_price.get(last).copied().unwrap_or(0.0);
+        let last = places.iter().rposition(|place| *place == class);
+        let price = last.and_then(|last| flows.room_price.get(last)).copied().unwrap_or(0.0);
         // What comes first is told apart from value.
         if price > bonus {
             price - bonus
--- a/crates/solve/tests/reference.rs
+++ b/crates/solve/tests/reference.rs
@@ -113,6 +113,8 @@
         fill_at_most: 0.8,
         cold_share: 0.2,
         steps: vec![(0.6, 0.0), (1.0, 0.02)],
+        standing: BTreeMap::new(),
+        change_price: 0.0,
     }
 }
 
@@ -254,3 +256,22 @@
     assert!(matches!(why("b2")[..], [Reason::Limited { load: 0.5 }, Reason::Full { .. }]));
     assert_eq!(explain(&short, &solution, "nobody"), None);
 }
+
+#[test]
+fn what_stands_moves_only_for_more_than_it_costs_to_move() {
+    // Hosts of zone b get a little cheaper; crossing costs 0.5 of value for a second of work.
+    let with = |gain: f64, change_price| {
+        let mut fleet = fleet(20.0, 0.0);
+        fleet.gateways.truncate(1);
+        fleet.steps = vec![(1.0, 0.0)];
+        fleet.hosts.iter_mut().filter(|host| host.zone == "a").for_each(|host| host.price = gain);
+        fleet.standing = BTreeMap::from([("a1".to_string(), 1.4), ("a2".to_string(), 0.6)]);
+        fleet.change_price = change_price;
+        let solution = solve(&fleet, &mut || false).expect("it can be solved");
+        solution.hosts.iter().filter(|host| host.zone == "b").map(|host| host.load).sum::<f64>()
+    };
+    assert_eq!(with(0.4, 0.0), 0.0, "crossing costs more than is gained");
+    assert!((with(0.6, 0.0) - 2.0).abs() < 1e-9, "it all moves for a little");
+    assert_eq!(with(0.6, 0.2), 0.0, "but not if moving costs more than that");
+    assert!((with(0.9, 0.2) - 2.0).abs() < 1e-9, "and for much it moves all the same");
+}
