--- a/crates/proxy-core/src/lib.rs
+++ b/crates/proxy-core/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod admission;
 pub mod core;
+pub mod dial;
 pub mod pick;
 pub mod retry;
 pub mod shun;
--- a/crates/proxy/src/reports.rs
+++ b/crates/proxy/src/reports.rs
@@ -2,16 +2,16 @@
 
 use prost::Message;
 use std::net::{Ipv4Addr, SocketAddrV4, TcpStream};
-use wheelspread::pcg::Pcg;
 use wheelspread::time::{Moment, Span};
 use wheelspread_grpc::{ClientConnection, ClientEvent, Limits};
+use wheelspread_proxy_core::dial::Dial;
 use wheelspread_reactor::{self as reactor, Interest, Poll, Token};
 use wheelspread_session::membership::Introduction;
 use wheelspread_session::sums::{NodeReport, Report};
 use wheelspread_xds::loads;
 
 enum State {
-    Waiting { until: Moment },
+    Waiting,
     Dialling(Box<ClientConnection>),
     Joined { connection: Box<ClientConnection>, period: Span, next: Moment },
 }
@@ -21,10 +21,7 @@
     sides: Vec<SocketAddrV4>,
     source: Option<Ipv4Addr>,
     state: State,
-    side: usize,
-    failures: u32,
-    redial: Span,
-    chance: Pcg,
+    dial: Dial,
     token: Token,
 }
 
@@ -33,9 +30,6 @@
     Left { reason: String },
 }
 
-/// After so many attempts that came to nothing the next conductor is tried.
-const ATTEMPTS: u32 = 2;
-
 impl Reports {
     pub fn new(
         now: Moment,
@@ -46,25 +40,22 @@
         seed: u64,
         token: Token,
     ) -> Reports {
-        let state = State::Waiting { until: now };
-        let chance = Pcg::new(seed);
-        Reports { who, sides, source, state, side: 0, failures: 0, redial, chance, token }
+        let dial = Dial::new(now, sides.len(), redial, seed);
+        Reports { who, sides, source, state: State::Waiting, dial, token }
     }
 
     pub fn joined(&self) -> bool {
-        matches!(self.state, State::Joined { .. })
+        self.dial.joined()
     }
 
     /// Reads, writes, dials. `report` is asked for sums when they are due.
     pub fn turn(&mut self, poll: &Poll, now: Moment, report: impl FnOnce() -> Option<Report>) -> Vec<Told> {
-        if let State::Waiting { until } = self.state {
-            if now >= until {
-                self.dial(poll, now);
-            }
+        if let Some(side) = self.dial.due(now) {
+            self.dial(poll, now, side);
         }
         let mut told = Vec::new();
         let (events, mut over) = match &mut self.state {
-            State::Waiting { .. } => return told,
+            State::Waiting => return told,
             State::Dialling(connection) | State::Joined { connection, .. } => connection.turn(now),
         };
         for event in events {
@@ -103,10 +94,11 @@
     }
 
     fn accepted(&mut self, now: Moment, period: Span, told: &mut Vec<Told>) {
-        self.state = match std::mem::replace(&mut self.state, State::Waiting { until: now }) {
+        self.state = match std::mem::replace(&mut self.state, State::Waiting) {
             State::Dialling(connection) => {
-                self.failures = 0;
-                told.push(Told::Joined { conductor: self.side });
+                if self.dial.accepted(now) {
+                    told.push(Told::Joined { conductor: self.dial.conductor() });
+                }
                 State::Joined { connection, period, next: now + period }
             }
             State::Joined { connection, next, .. } => State::Joined { connection, period, next },
@@ -116,19 +108,14 @@
 
     /// Breaks the stream, as when the network does.
     pub fn lost(&mut self, now: Moment, reason: String, told: &mut Vec<Told>) {
-        if self.joined() {
+        if self.dial.lost(now) {
             told.push(Told::Left { reason });
         }
-        self.failures += 1;
-        if self.failures >= ATTEMPTS {
-            (self.side, self.failures) = ((self.side + 1) % self.sides.len(), 0);
-        }
-        // Those that lost their streams together don't all come back at once.
-        self.state = State::Waiting { until: now + self.redial * (0.5 + self.chance.unit()) };
+        self.state = State::Waiting;
     }
 
-    fn dial(&mut self, poll: &Poll, now: Moment) {
-        let side = self.sides[self.side];
+    fn dial(&mut self, poll: &Poll, now: Moment, side: usize) {
+        let side = self.sides[side];
         let socket = reactor::connect_from(self.source, side.ip().octets(), side.port());
         let dialled = socket.and_then(|socket: TcpStream| {
             poll.add(&socket, self.token, Interest::Edges)?;
@@ -142,7 +129,7 @@
 
     pub fn wake_at(&self, now: Moment) -> Moment {
         match &self.state {
-            State::Waiting { until } => *until,
+            State::Waiting => self.dial.until().unwrap_or(now),
             State::Dialling(_) => now + Span::from_seconds(0.5),
             // Pings are looked after as well.
             State::Joined { next, .. } => (*next).min(now + Span::from_seconds(0.5)),
