--- a/crates/grpc/tests/streams.rs
+++ b/crates/grpc/tests/streams.rs
@@ -54,6 +54,17 @@
         self.poll.add(&socket, Token(2), Interest::Edges).expect("registers");
         ClientConnection::new(now(), socket, "/a.Service/Stream", Limits::default())
     }
+
+    /// A client whose first message has come.
+    fn opened(&mut self) -> ClientConnection {
+        let mut client = self.client();
+        client.send(b"hello");
+        self.until("the stream", |stage| {
+            client.turn(now());
+            !messages(&stage.events).is_empty()
+        });
+        client
+    }
 }
 
 fn messages(events: &[ServerEvent]) -> Vec<usize> {
@@ -96,12 +107,7 @@
 #[test]
 fn a_peer_that_takes_nothing_costs_no_more_than_was_allowed() {
     let mut stage = Stage::new(Limits { queued: 300_000, ..Limits::default() });
-    let mut client = stage.client();
-    client.send(b"hello");
-    stage.until("the stream", |stage| {
-        client.turn(now());
-        !messages(&stage.events).is_empty()
-    });
+    let _client = stage.opened();
     let ServerEvent::Opened { stream, .. } = stage.events[0].clone() else { panic!("{:?}", stage.events) };
     let mut refused = 0;
     for _ in 0..200 {
@@ -169,12 +175,7 @@
 #[test]
 fn a_connection_that_breaks_ends_its_streams() {
     let mut stage = Stage::new(Limits::default());
-    let mut client = stage.client();
-    client.send(b"hello");
-    stage.until("the stream", |stage| {
-        client.turn(now());
-        !messages(&stage.events).is_empty()
-    });
+    let mut client = stage.opened();
     drop(client);
     stage.until("the end", |stage| stage.over.is_some());
     assert!(stage.events.iter().any(|event| matches!(event, ServerEvent::Closed { .. })));
@@ -183,12 +184,7 @@
 #[test]
 fn a_peer_that_is_hung_is_noticed_by_its_silence() {
     let mut stage = Stage::new(Limits::default());
-    let mut client = stage.client();
-    client.send(b"hello");
-    stage.until("the stream", |stage| {
-        client.turn(now());
-        !messages(&stage.events).is_empty()
-    });
+    let mut client = stage.opened();
     // Pings are answered while the peer's loop goes round.
     let start = now();
     assert_eq!(client.turn(start + Span::from_seconds(2.0)).1, None);
--- a/crates/proxy/src/client.rs
+++ b/crates/proxy/src/client.rs
@@ -59,6 +59,34 @@
     Lost,
 }
 
+/// Reads until there is no more for now, the peer ended, or as much is held as may be. `state`: whether there
+/// may be more, and whether the peer sends no more.
+pub fn take_in(
+    mut socket: &TcpStream,
+    input: &mut Vec<u8>,
+    most: usize,
+    piece: &mut [u8],
+    (more, ended): (&mut bool, &mut bool),
+) -> Line {
+    while *more && !*ended && input.len() < most {
+        match socket.read(piece) {
+            Ok(0) => *ended = true,
+            Ok(count) => {
+                input.extend_from_slice(&piece[..count]);
+                // Less than was asked for: there is no more for now, and the next comes as news.
+                *more = count == piece.len();
+            }
+            // A connection that does not stand yet has nothing to read.
+            Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::NotConnected) => {
+                *more = false
+            }
+            Err(error) if error.kind() == ErrorKind::Interrupted => {}
+            Err(_) => return Line::Lost,
+        }
+    }
+    Line::Up
+}
+
 impl Client {
     pub fn new(now: Moment, socket: TcpStream) -> Client {
         Client {
@@ -77,21 +105,13 @@
     /// Takes what has come, as far as it may be held.
     pub fn read(&mut self, now: Moment, most: usize, readable: bool, piece: &mut [u8]) -> Line {
         self.more |= readable;
-        while self.more && !self.ended && self.input.len() < most {
-            match self.socket.read(piece) {
-                Ok(0) => self.ended = true,
-                Ok(count) => {
-                    self.input.extend_from_slice(&piece[..count]);
-                    self.since = now;
-                    // Less than was asked for: there is no more for now, and the next comes as news.
-                    self.more = count == piece.len();
-                }
-                Err(error) if error.kind() == ErrorKind::WouldBlock => self.more = false,
-                Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                Err(_) => return Line::Lost,
-            }
+        let before = self.input.len();
+        let (more, ended) = (&mut self.more, &mut self.ended);
+        let line = take_in(&self.socket, &mut self.input, most, piece, (more, ended));
+        if self.input.len() > before {
+            self.since = now;
         }
-        Line::Up
+        line
     }
 
     pub fn queue(&mut self, bytes: &[u8]) {
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -1,7 +1,7 @@
 //! One connection to a node: idle in the pool, or with one try on it.
 
-use crate::client::Line;
-use std::io::{ErrorKind, Read, Write};
+use crate::client::{take_in, Line};
+use std::io::{ErrorKind, Write};
 use std::net::TcpStream;
 use std::rc::Rc;
 use wheelspread::ids::NodeId;
@@ -84,20 +84,7 @@
     /// Takes what has come, while not more than `most` is held.
     pub fn read(&mut self, most: usize, readable: bool, piece: &mut [u8]) -> Line {
         self.more |= readable;
-        while self.more && !self.ended && self.input.len() < most {
-            match self.socket.read(piece) {
-                Ok(0) => self.ended = true,
-                Ok(count) => {
-                    self.input.extend_from_slice(&piece[..count]);
-                    self.more = count == piece.len();
-                }
-                Err(error) if error.kind() == ErrorKind::WouldBlock => self.more = false,
-                Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                Err(error) if error.kind() == ErrorKind::NotConnected && !self.stood => self.more = false,
-                Err(_) => return Line::Lost,
-            }
-        }
-        Line::Up
+        take_in(&self.socket, &mut self.input, most, piece, (&mut self.more, &mut self.ended))
     }
 
     /// There is more of an answer than was taken.
