--- a/crates/grpc/tests/streams.rs
+++ b/crates/grpc/tests/streams.rs
@@ -175,7 +175,7 @@
 #[test]
 fn a_connection_that_breaks_ends_its_streams() {
     let mut stage = Stage::new(Limits::default());
-    let mut client = stage.opened();
+    let client = stage.opened();
     drop(client);
     stage.until("the end", |stage| stage.over.is_some());
     assert!(stage.events.iter().any(|event| matches!(event, ServerEvent::Closed { .. })));
