--- a/crates/cli/src/drill.rs
+++ b/crates/cli/src/drill.rs
@@ -107,14 +107,14 @@
     };
     if arguments.json {
         match serde_json::to_string(&report) {
-            Ok(text) => println!("{text}"),
+            Ok(text) => say!("{text}"),
             Err(error) => {
                 eprintln!("{error}");
                 return ExitCode::from(NOT_PLAYED);
             }
         }
     } else {
-        print!("{}", report.table());
+        say!("{}", report.table().trim_end());
     }
     if report.verdict.kept() {
         ExitCode::SUCCESS
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,5 +1,13 @@
 //! The `wheelspread` program: one sub-command for each thing that it does.
 
+/// Prints a line; who stopped reading is no reason to fail.
+macro_rules! say {
+    ($($text:tt)*) => {{
+        use std::io::Write;
+        let _ = writeln!(std::io::stdout(), $($text)*);
+    }};
+}
+
 mod drill;
 mod measure;
 mod solve;
@@ -65,7 +73,7 @@
     match read(path) {
         Ok(file) => {
             let plan = &file.deployment;
-            println!(
+            say!(
                 "{}: conductor {} of {}, {} zones, {} operations: nothing is wrong",
                 path.display(),
                 file.conductor.name,
--- a/crates/cli/src/measure.rs
+++ b/crates/cli/src/measure.rs
@@ -75,7 +75,7 @@
     }
     if json {
         match serde_json::to_string(&all) {
-            Ok(text) => println!("{text}"),
+            Ok(text) => say!("{text}"),
             Err(error) => {
                 eprintln!("{error}");
                 return ExitCode::FAILURE;
@@ -83,12 +83,18 @@
         }
         return ExitCode::SUCCESS;
     }
-    println!(
+    say!(
         "{:>6}{:>9}{:>14}{:>14}{:>8}{:>12}{:>16}",
-        "nodes", "proxies", "p50 ms", "p99 ms", "swaps", "CPU s/s", "all joined ms"
+        "nodes",
+        "proxies",
+        "p50 ms",
+        "p99 ms",
+        "swaps",
+        "CPU s/s",
+        "all joined ms"
     );
     for one in &all {
-        println!(
+        say!(
             "{:>6}{:>9}{:>14.1}{:>14.1}{:>8}{:>12.3}{:>16.0}",
             one.nodes,
             one.proxies,
@@ -102,21 +108,27 @@
     if let (Some(first), Some(last)) = (all.first(), all.last()) {
         let size = (last.nodes * last.proxies) as f64 / (first.nodes * first.proxies) as f64;
         let cost = last.cpu / first.cpu.max(1e-6);
-        println!("nodes x proxies grow {size:.0}-fold, CPU {cost:.1}-fold");
+        say!("nodes x proxies grow {size:.0}-fold, CPU {cost:.1}-fold");
     }
     ExitCode::SUCCESS
 }
 
 fn proxy(seconds: f64, effects: u64) -> Result<(), String> {
     let program = std::env::current_exe().map_err(|error| error.to_string())?;
-    println!(
+    say!(
         "{:>12}{:>9}{:>12}{:>10}{:>10}{:>10}{:>14}",
-        "connections", "way", "per second", "p50 ms", "p99 ms", "p99.9 ms", "CPU us each"
+        "connections",
+        "way",
+        "per second",
+        "p50 ms",
+        "p99 ms",
+        "p99.9 ms",
+        "CPU us each"
     );
     for connections in [1, 10, 100, 1000] {
         let ways = proxy::measure_proxy(&program, connections, seconds).map_err(|e| e.to_string())?;
         for way in &ways {
-            println!(
+            say!(
                 "{connections:>12}{:>9}{:>12.0}{:>10.3}{:>10.3}{:>10.3}{:>14}",
                 way.way,
                 way.loaded.per_second(),
@@ -129,14 +141,14 @@
         if let [direct, proxied] = &ways[..] {
             let part = proxied.loaded.per_second() / direct.loaded.per_second().max(1.0);
             let added = (proxied.loaded.ms(0.5) - direct.loaded.ms(0.5)) * 1e3;
-            println!("{:>12}  {part:.2} of the direct throughput, {added:.0} us added at the median", "");
+            say!("{:>12}  {part:.2} of the direct throughput, {added:.0} us added at the median", "");
         }
     }
     let (count, bytes) = proxy::measure_idle(&program, 10_000).map_err(|error| error.to_string())?;
-    println!("{count} idle connections: {:.1} kB each", bytes as f64 / 1e3 / count as f64);
+    say!("{count} idle connections: {:.1} kB each", bytes as f64 / 1e3 / count as f64);
     let (asked, executed, twice) =
         proxy::measure_effects(&program, effects).map_err(|error| error.to_string())?;
-    println!("{asked} side-effecting invocations with faults: {executed} took effect, {twice} twice");
+    say!("{asked} side-effecting invocations with faults: {executed} took effect, {twice} twice");
     if twice == 0 {
         Ok(())
     } else {
@@ -227,9 +239,14 @@
 }
 
 fn solver() {
-    println!(
+    say!(
         "{:>7}{:>10}{:>12}{:>12}{:>10}{:>14}",
-        "hosts", "gateways", "ours ms", "plain ms", "ratio", "objective off"
+        "hosts",
+        "gateways",
+        "ours ms",
+        "plain ms",
+        "ratio",
+        "objective off"
     );
     let mut times = Vec::new();
     for (hosts, gateways) in [(32, 27), (100, 84), (318, 267), (1006, 844), (3180, 2670)] {
@@ -247,13 +264,13 @@
         if hosts <= 1006 {
             let (theirs, wanted) = timed(&mut || plain(&fleet));
             let off = (objective - wanted).abs() / wanted.abs();
-            println!("{hosts:>7}{gateways:>10}{ours:>12.2}{theirs:>12.1}{:>10.1}{off:>14.1e}", theirs / ours);
+            say!("{hosts:>7}{gateways:>10}{ours:>12.2}{theirs:>12.1}{:>10.1}{off:>14.1e}", theirs / ours);
         } else {
-            println!("{hosts:>7}{gateways:>10}{ours:>12.2}{:>12}{:>10}{:>14}", "-", "-", "-");
+            say!("{hosts:>7}{gateways:>10}{ours:>12.2}{:>12}{:>10}{:>14}", "-", "-", "-");
         }
     }
     if let [.., middle, _, last] = &times[..] {
-        println!(
+        say!(
             "time grows with hosts to the power of {:.2}",
             (last.1 / middle.1).ln() / (last.0 / middle.0).ln()
         );
--- a/crates/cli/src/solve.rs
+++ b/crates/cli/src/solve.rs
@@ -38,7 +38,7 @@
 pub fn solve(arguments: SolveArguments) -> ExitCode {
     let refuse = |text: String| {
         if arguments.json {
-            println!("{}", serde_json::json!({ "status": "refused", "reason": text }));
+            say!("{}", serde_json::json!({ "status": "refused", "reason": text }));
         }
         eprintln!("{}: {text}", arguments.fleet.display());
         ExitCode::from(BAD_INPUT)
@@ -79,7 +79,7 @@
     }
     if arguments.json {
         match serde_json::to_string(&Told { solution: &solution, solve_ms }) {
-            Ok(text) => println!("{text}"),
+            Ok(text) => say!("{text}"),
             Err(error) => return refuse(error.to_string()),
         }
     } else {
@@ -92,23 +92,28 @@
 }
 
 fn table(solution: &Solution, solve_ms: f64) {
-    println!(
-        "{:<20}{:<12}{:>8}{:>10}{:>10}{:>10}  binds",
-        "host", "zone", "weight", "load", "capacity", "worth"
-    );
+    say!("{:<20}{:<12}{:>8}{:>10}{:>10}{:>10}  binds", "host", "zone", "weight", "load", "capacity", "worth");
     for host in &solution.hosts {
-        println!(
+        say!(
             "{:<20}{:<12}{:>8.3}{:>10.3}{:>10.3}{:>10.3}  {}",
-            host.id, host.zone, host.weight, host.load, host.capacity, host.shadow_price, host.binds
+            host.id,
+            host.zone,
+            host.weight,
+            host.load,
+            host.capacity,
+            host.shadow_price,
+            host.binds
         );
     }
     for told in solution.gateways.iter().filter(|told| told.admitted < 1.0) {
-        println!("{} lets in {:.3} of {}", told.id, told.admitted, told.operation);
+        say!("{} lets in {:.3} of {}", told.id, told.admitted, told.operation);
     }
     let status = if solution.status == wheelspread_solve::Status::Optimal { "optimal" } else { "cut short" };
-    println!(
+    say!(
         "{status}: value {:.3} a second, objective {:.3}, {} steps in {solve_ms:.2} ms",
-        solution.value_per_s, solution.objective, solution.paths
+        solution.value_per_s,
+        solution.objective,
+        solution.paths
     );
 }
 
@@ -117,17 +122,21 @@
         eprintln!("`{id}` is no host of this fleet");
         return ExitCode::from(BAD_INPUT);
     };
-    println!(
+    say!(
         "{} in {}: weight {:.3}, {:.3} of at most {:.3} seconds of work a second",
-        told.id, told.zone, told.weight, told.load, told.room
+        told.id,
+        told.zone,
+        told.weight,
+        told.load,
+        told.room
     );
-    told.reasons.iter().for_each(|reason| println!("  {reason}"));
-    println!(
+    told.reasons.iter().for_each(|reason| say!("  {reason}"));
+    say!(
         "  loaded alike with: {}",
         if told.alike.is_empty() { "none".to_string() } else { told.alike.join(", ") }
     );
     for (operation, from, invocations) in &told.gets {
-        println!("  its zone gets {invocations:.2} {operation} a second from {from}");
+        say!("  its zone gets {invocations:.2} {operation} a second from {from}");
     }
     ExitCode::SUCCESS
 }
