Take out what nobody calls; one way to find a proxy by its number

Read over as a whole, the change held accessors without a caller, an evidence count that nothing read, and a choice by a node's age whose two branches were the same. Looking a proxy up by number stood in three places. Behaviour is as it was; all checks pass.

--- a/crates/grpc/src/client.rs
+++ b/crates/grpc/src/client.rs
@@ -175,10 +175,6 @@
         self.queued += bytes.len();
         self.queue.push_back(Bytes::copy_from_slice(bytes));
     }
-
-    pub fn open(&self) -> bool {
-        matches!(self.state, State::Open(_))
-    }
 }
 
 impl Open {
--- a/crates/grpc/src/server.rs
+++ b/crates/grpc/src/server.rs
@@ -300,10 +300,6 @@
         }
     }
 
-    pub fn streams(&self) -> usize {
-        self.streams.len()
-    }
-
     /// When `turn` should be called though the socket is quiet.
     pub fn wake_at(&self) -> Option<Moment> {
         let shaking = matches!(self.state, State::Shaking(_)).then_some(self.since);
--- a/crates/proxy-core/src/pick.rs
+++ b/crates/proxy-core/src/pick.rs
@@ -75,19 +75,10 @@
         self.lines.iter().map(|line| line.node)
     }
 
-    /// The part of the weight that is open.
-    pub fn open_weight(&self) -> u64 {
-        self.total
-    }
-
     fn place(&self, node: NodeId) -> Option<usize> {
         self.lines.binary_search_by(|line| line.node.cmp(&node)).ok()
     }
 
-    pub fn names(&self, node: NodeId) -> bool {
-        self.place(node).is_some()
-    }
-
     fn add(&mut self, at: usize, change: i64) {
         self.total = self.total.wrapping_add_signed(change);
         let mut index = at + 1;
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -12,7 +12,7 @@
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
-use wheelspread::ids::{NodeId, OperationId};
+use wheelspread::ids::NodeId;
 use wheelspread::time::{Moment, Span};
 use wheelspread_files::Held;
 use wheelspread_http1::{request, response, BadMessage, Body, Framing, Limits, Request};
@@ -114,10 +114,6 @@
         self.reports.joined()
     }
 
-    pub fn core(&self) -> &Core {
-        &self.core
-    }
-
     // ---- what the loop calls ----
 
     /// Whether a token is of a connection to a node: those are looked after first, so that one that was
@@ -171,17 +167,6 @@
         self.core.wake_at().map_or(at, |due| at.min(due))
     }
 
-    /// Drops the stream of sums, as a network would.
-    pub fn break_stream(&mut self, now: Moment) {
-        let mut told = Vec::new();
-        self.reports.lost(now, "broken".to_string(), &mut told);
-        for told in told {
-            if let Told::Left { reason } = told {
-                self.witness.left(now, &reason);
-            }
-        }
-    }
-
     // ---- tables and sums ----
 
     fn turn_reports(&mut self, poll: &Poll, now: Moment) {
@@ -789,13 +774,4 @@
             }
         }
     }
-
-    pub fn operation(&self, name: &str) -> Option<OperationId> {
-        self.core.operation(name)
-    }
-
-    /// Connections open to clients and to nodes.
-    pub fn connections(&self) -> (usize, usize) {
-        (self.clients.len(), self.nodes.len())
-    }
 }
--- a/crates/reactor/src/lib.rs
+++ b/crates/reactor/src/lib.rs
@@ -105,18 +105,6 @@
     time.tv_sec as f64 + time.tv_nsec as f64 / 1e9
 }
 
-/// CPU that this process has used, in seconds.
-pub fn cpu() -> f64 {
-    let time = rustix::time::clock_gettime(rustix::time::ClockId::ProcessCPUTime);
-    time.tv_sec as f64 + time.tv_nsec as f64 / 1e9
-}
-
-/// CPU that the calling thread has used, in seconds.
-pub fn thread_cpu() -> f64 {
-    let time = rustix::time::clock_gettime(rustix::time::ClockId::ThreadCPUTime);
-    time.tv_sec as f64 + time.tv_nsec as f64 / 1e9
-}
-
 /// Wakes a loop from another thread.
 #[derive(Clone, Debug)]
 pub struct Waker(Arc<OwnedFd>);
--- a/crates/session/src/channel.rs
+++ b/crates/session/src/channel.rs
@@ -94,10 +94,6 @@
         self.lines_waiting() > self.most_waiting
     }
 
-    pub fn waits(&self, proxy: ProxyId) -> bool {
-        self.waiting.contains_key(&proxy)
-    }
-
     /// A message for a proxy, in the place of one that still waits.
     pub fn offer(&mut self, now: Moment, proxy: ProxyId, lines: f64, urgency: Urgency) {
         let before = self.withhold(proxy);
--- a/crates/session/src/marks.rs
+++ b/crates/session/src/marks.rs
@@ -62,10 +62,6 @@
         self.proxies.remove(&proxy);
     }
 
-    pub fn holds(&self, proxy: ProxyId) -> Option<Version> {
-        self.proxies.get(&proxy)?.told
-    }
-
     /// Marks answered by now, in the order asked.
     pub fn answered(&mut self, now: Moment) -> Vec<Event> {
         let mut events = Vec::new();
--- a/crates/session/src/membership.rs
+++ b/crates/session/src/membership.rs
@@ -120,6 +120,10 @@
         self.names.get(&id).map(String::as_str)
     }
 
+    pub fn numbered(&self, id: ProxyId) -> Option<&Member> {
+        self.members.get(self.names.get(&id)?)
+    }
+
     pub fn members(&self) -> impl Iterator<Item = (&str, &Member)> {
         self.members.iter().map(|(name, member)| (name.as_str(), member))
     }
--- a/crates/session/src/session.rs
+++ b/crates/session/src/session.rs
@@ -255,10 +255,6 @@
         self.channel.lines_waiting()
     }
 
-    pub fn messages(&self) -> u64 {
-        self.channel.messages
-    }
-
     pub fn nodes(&self) -> &Nodes {
         &self.nodes
     }
@@ -267,11 +263,6 @@
         &self.members
     }
 
-    /// What a proxy was last pointed at.
-    pub fn published_to(&self, proxy: &str) -> Option<&Arc<TableSet>> {
-        self.pointed.get(&self.members.member(proxy)?.id)
-    }
-
     // ---- what happened ----
 
     pub fn observe(&mut self, now: Moment, observation: Observation) {
@@ -509,12 +500,7 @@
             // Whoever was bound anew waits for a swap, though it should be of what lies there already.
             self.offer(now, *proxy, anew.contains(proxy));
         }
-        let joined = |id: &ProxyId| {
-            self.members
-                .name(*id)
-                .and_then(|name| self.members.member(name))
-                .is_some_and(|member| member.joined())
-        };
+        let joined = |id: &ProxyId| self.members.numbered(*id).is_some_and(|member| member.joined());
         let everyone: Vec<ProxyId> = bound.iter().copied().filter(joined).collect();
         for (mark, all) in marks {
             let asked: Vec<ProxyId> =
@@ -545,7 +531,7 @@
         if !anew && held.is_some_and(|held| held.version == newest.version) {
             return;
         }
-        let joined = self.members.name(proxy).and_then(|name| self.members.member(name));
+        let joined = self.members.numbered(proxy);
         let urgency = match (joined.is_some_and(|member| member.joined()), held) {
             (false, _) => Urgency::Away,
             (true, Some(held)) if removes_lines(held, newest) => Urgency::Removal,
--- a/crates/session/src/weigh.rs
+++ b/crates/session/src/weigh.rs
@@ -68,8 +68,7 @@
         for event in events {
             match event {
                 Event::Offered { proxy, operation, count, over, .. } if over.seconds() > 0.0 => {
-                    let zone =
-                        members.name(*proxy).and_then(|name| members.member(name)).map(|member| member.zone);
+                    let zone = members.numbered(*proxy).map(|member| member.zone);
                     if let Some(zone) = zone {
                         *asked.entry((zone, *operation)).or_insert(0.0) += count / over.seconds();
                     }
@@ -115,18 +114,16 @@
         }
     }
 
-    fn fleet(&self, now: Moment, plan: &Deployment, solver: &SolverPlan, nodes: &Nodes) -> Fleet {
+    fn fleet(&self, plan: &Deployment, solver: &SolverPlan, nodes: &Nodes) -> Fleet {
         let host = |(record, entry): (&crate::nodes::NodeRecord, &ListEntry)| {
             let told = solver.capacities.get(&record.kind).copied().unwrap_or(0.0);
-            let young = entry.started.is_some_and(|at| now - at < plan.rules.warm_after);
             Host {
                 id: show(record.node),
                 zone: record.zone.clone(),
                 capacity: self.estimates.get(&record.node).map_or(told, Estimate::capacity),
-                state: match (entry.listing, young) {
-                    (Listing::Ready, false) => HostState::Ready,
-                    // The module raises it as it warms; its weight is that of a warm one.
-                    (Listing::Ready, true) => HostState::Ready,
+                // The module raises a cold node as it warms; its weight here is that of a warm one.
+                state: match entry.listing {
+                    Listing::Ready => HostState::Ready,
                     _ => HostState::Draining,
                 },
                 price: 0.0,
@@ -174,7 +171,7 @@
         }
         self.next_at = now + solver.every;
         self.estimates.retain(|node, _| nodes.record(*node).is_some());
-        let fleet = self.fleet(now, plan, solver, nodes);
+        let fleet = self.fleet(plan, solver, nodes);
         let mut left = STEPS;
         let mut over = || {
             left = left.saturating_sub(1);
--- a/crates/solve/src/estimate.rs
+++ b/crates/solve/src/estimate.rs
@@ -18,7 +18,6 @@
     told: f64,
     /// Logarithm of the correction.
     correction: f64,
-    weight: f64,
 }
 
 /// A correction goes no further than a factor of two (and a little) either way.
@@ -34,7 +33,7 @@
 
 impl Estimate {
     pub fn new(told: f64) -> Estimate {
-        Estimate { told: told.max(0.0), correction: 0.0, weight: 0.0 }
+        Estimate { told: told.max(0.0), correction: 0.0 }
     }
 
     pub fn capacity(&self) -> f64 {
@@ -57,12 +56,6 @@
         let share = BELIEVED * seen.tries / (seen.tries + TRIES);
         self.correction += share * (says - self.correction);
         self.correction = self.correction.clamp(-FURTHEST, FURTHEST);
-        self.weight += seen.tries;
-    }
-
-    /// Tries that speak for it.
-    pub fn evidence(&self) -> f64 {
-        self.weight
     }
 }
 
