--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -37,7 +37,11 @@
     /// Runs a conductor until it is told to stop (SIGTERM or SIGINT).
     Run {
         /// What it is told: see docs/operating.md
-        file: PathBuf,
+        #[arg(required_unless_present = "platform")]
+        file: Option<PathBuf>,
+        /// Runs as a conductor of a platform, by the configuration it hands out: see docs/platform.md
+        #[arg(long, value_name = "CONFIG", conflicts_with = "file")]
+        platform: Option<PathBuf>,
     },
     /// Says what is wrong with a conductor's file, or that nothing is.
     Check { file: PathBuf },
@@ -73,7 +77,8 @@
 
 fn main() -> ExitCode {
     match Cli::parse().command {
-        Command::Run { file } => run(&file),
+        Command::Run { platform: Some(config), .. } => platform(&config),
+        Command::Run { file, .. } => run(&file.unwrap_or_default()),
         Command::Check { file } => check(&file),
         Command::Proxy { file } => proxy(&file),
         Command::Drill(arguments) => drill::drill(arguments),
@@ -148,6 +153,24 @@
     }
 }
 
+fn platform(path: &Path) -> ExitCode {
+    log::start(&LogPlan::default());
+    let service = match wheelspread_platform::Service::start(path) {
+        Ok(service) => service,
+        Err(error) => {
+            eprintln!("{error}");
+            return ExitCode::from(BAD_INPUT);
+        }
+    };
+    match service.run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{}: {error}", path.display());
+            ExitCode::FAILURE
+        }
+    }
+}
+
 fn proxy(path: &Path) -> ExitCode {
     let plan = match ProxyFile::read(path) {
         Ok(plan) => plan,
--- a/crates/http1/src/body.rs
+++ b/crates/http1/src/body.rs
@@ -59,16 +59,27 @@
 
     /// How many of these bytes belong to the body.
     pub fn take(&mut self, bytes: &[u8]) -> Result<usize, BadMessage> {
+        self.follow(bytes, |_| {})
+    }
+
+    /// The same; what they carry, without what stands between chunks, is appended to `carried`.
+    pub fn read(&mut self, bytes: &[u8], carried: &mut Vec<u8>) -> Result<usize, BadMessage> {
+        self.follow(bytes, |some| carried.extend_from_slice(some))
+    }
+
+    fn follow(&mut self, bytes: &[u8], mut carries: impl FnMut(&[u8])) -> Result<usize, BadMessage> {
         let mut at = 0;
         while at < bytes.len() && self.0 != State::Done {
             let left = (bytes.len() - at) as u64;
             self.0 = match self.0 {
                 State::UntilClose => {
+                    carries(&bytes[at..]);
                     at = bytes.len();
                     State::UntilClose
                 }
                 State::Counting(wanted) => {
                     let taken = wanted.min(left);
+                    carries(&bytes[at..at + taken as usize]);
                     at += taken as usize;
                     if taken == wanted {
                         State::Done
@@ -78,6 +89,7 @@
                 }
                 State::Chunk(wanted) => {
                     let taken = wanted.min(left);
+                    carries(&bytes[at..at + taken as usize]);
                     at += taken as usize;
                     if taken == wanted {
                         State::ChunkEnd
@@ -135,19 +147,22 @@
     use proptest::prelude::*;
     use test_case::test_case;
 
-    #[test_case("5\r\nhello\r\n0\r\n\r\n"; "one chunk")]
-    #[test_case("5;name=value\r\nhello\r\n00\r\nX: y\r\nZ: 1\r\n\r\n"; "extensions and trailers")]
-    #[test_case("A\r\n0123456789\r\n1\r\nx\r\n0\r\n\r\n"; "hexadecimal")]
-    #[test_case("0\r\n\r\n"; "nothing")]
-    fn chunks_are_followed_to_their_end(text: &str) {
+    #[test_case("5\r\nhello\r\n0\r\n\r\n", 5; "one chunk")]
+    #[test_case("5;name=value\r\nhello\r\n00\r\nX: y\r\nZ: 1\r\n\r\n", 5; "extensions and trailers")]
+    #[test_case("A\r\n0123456789\r\n1\r\nx\r\n0\r\n\r\n", 11; "hexadecimal")]
+    #[test_case("0\r\n\r\n", 0; "nothing")]
+    fn chunks_are_followed_to_their_end(text: &str, carries: u64) {
         for cut in 1..=text.len() {
             let with_next = format!("{text}GET / HTTP/1.1");
             let (mut body, mut taken) = (Body::new(Framing::Chunked), 0);
+            let (mut reading, mut carried) = (body, Vec::new());
             while !body.done() {
                 let end = (taken + cut).min(with_next.len());
-                taken += body.take(&with_next.as_bytes()[taken..end]).expect("fine");
+                let some = &with_next.as_bytes()[taken..end];
+                taken += body.take(some).expect("fine");
+                reading.read(some, &mut carried).expect("fine");
             }
-            assert_eq!(taken, text.len(), "cut by {cut}");
+            assert_eq!((taken, carried.len() as u64), (text.len(), carries), "cut by {cut}");
         }
     }
 
--- /dev/null
+++ b/crates/orders/src/desk.rs
@@ -0,0 +1,331 @@
+//! Drives the module: messages and lists become events, what it orders becomes messages. It is settled
+//! once for all that was heard, not more often than each tick.
+
+use crate::book::{Book, Kept};
+use crate::door::{effect, Effect, Party};
+use crate::message::{self, Bounds, Message};
+use crate::roster::{List, Roster};
+use crate::LinkId;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use wheelspread::balance::Balancer;
+use wheelspread::facts::Facts;
+use wheelspread::ids::{NodeId, ProxyId, TimerId};
+use wheelspread::interface::{Action, Event, ListKind};
+use wheelspread::ring::Ring;
+use wheelspread::time::{Moment, Span};
+use wheelspread_vocabulary::Names;
+
+/// What becomes of a message at once.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Reply {
+    Nothing,
+    /// It has said who it is.
+    Known,
+    Pong,
+    Close(String),
+}
+
+/// What is to be done outside.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Out {
+    Write { link: LinkId, bytes: Rc<[u8]> },
+    Close { link: LinkId, why: &'static str },
+    ReadList,
+    Probe { node: NodeId, address: SocketAddrV4 },
+    Remark(String),
+}
+
+/// A stream is taken for silent when a mark is unanswered, and nothing else came, for so long: seconds, and
+/// times the longest delay of a message and the slowest answer of late. A stream that is only slow must
+/// not be ended: its proxy would go on by what it holds, and the time limits with it.
+const SILENT: (f64, f64, f64) = (1.5, 3.0, 2.0);
+/// Answers count for so long, in buckets of a second.
+const ANSWERS: usize = 10;
+/// Between two looks for silent streams and names long gone, in seconds.
+const LOOK: f64 = 0.25;
+/// Times the age at which nodes are warm: how long a name that nothing holds is remembered.
+const NAMES_KEPT: f64 = 10.0;
+
+struct Stream {
+    link: LinkId,
+    heard: Moment,
+}
+
+/// The slowest of the answers that came in a bucket of time.
+#[derive(Clone, Copy, Debug, Default)]
+struct Slowest(f64);
+
+impl std::ops::AddAssign for Slowest {
+    fn add_assign(&mut self, more: Slowest) {
+        self.0 = self.0.max(more.0);
+    }
+}
+
+pub struct Desk {
+    balancer: Balancer,
+    names: Names,
+    bounds: Bounds,
+    tick: Span,
+    delay: Span,
+    warm_after: Span,
+    roster: Roster,
+    book: Book,
+    parties: BTreeMap<LinkId, Party>,
+    streams: BTreeMap<ProxyId, Stream>,
+    timers: BTreeSet<(Moment, TimerId)>,
+    answers: Ring<Slowest>,
+    /// Something was heard since the last moment settled.
+    pending: bool,
+    settled: Option<Moment>,
+    next_look: Moment,
+    out: Vec<Out>,
+}
+
+fn bounds(facts: &Facts) -> Bounds {
+    let timeouts = (0..16).map(|at| facts.number_or(&format!("operation.{at}.integration_timeout"), 0.0));
+    let longest = timeouts.fold(1.0, f64::max);
+    // A mean time carries noise, and a try may outlast its client.
+    let longest_try = Span::from_seconds(longest * 4.0);
+    Bounds { proxies: facts.number_or("proxy.count", 0.0).clamp(0.0, 65535.0) as u16, longest_try }
+}
+
+impl Desk {
+    pub fn start(now: Moment, seed: u64, facts: Facts, names: Names) -> Result<Desk, String> {
+        let second = Span::from_seconds(1.0);
+        let mut desk = Desk {
+            balancer: Balancer::start(now, seed, facts.clone())?,
+            bounds: bounds(&facts),
+            tick: Span::ZERO,
+            delay: Span::ZERO,
+            warm_after: Span::ZERO,
+            roster: Roster::default(),
+            book: Book::new(&names.operations),
+            names,
+            parties: BTreeMap::new(),
+            streams: BTreeMap::new(),
+            timers: BTreeSet::new(),
+            answers: Ring::new(second, ANSWERS),
+            pending: true,
+            settled: None,
+            next_look: now,
+            out: Vec::new(),
+        };
+        desk.measures(&facts);
+        Ok(desk)
+    }
+
+    fn measures(&mut self, facts: &Facts) {
+        let span = |name| Span::from_seconds(facts.number_or(name, 0.0));
+        self.bounds = bounds(facts);
+        (self.tick, self.delay, self.warm_after) =
+            (span("conductor.tick"), span("channel.delay_at_most"), span("rules.warm_after"));
+    }
+
+    /// Other settings, from now on. Zones, kinds and operations stay what they are.
+    pub fn refigure(&mut self, facts: Facts, names: &Names) -> Result<(), String> {
+        if *names != self.names {
+            return Err("zones, kinds, operations and reports stay what they are while this runs".to_string());
+        }
+        self.balancer.refigure(facts.clone())?;
+        self.measures(&facts);
+        self.pending = true;
+        Ok(())
+    }
+
+    pub fn names(&self) -> &Names {
+        &self.names
+    }
+
+    pub fn proxies(&self) -> usize {
+        self.streams.len()
+    }
+
+    /// The version of the list that stands.
+    pub fn version(&self) -> Option<u64> {
+        self.roster.version()
+    }
+
+    /// Takes a list; `cached`: as it stood before the start. Whether it was news.
+    pub fn list(&mut self, now: Moment, list: &List, cached: bool) -> bool {
+        let Some(event) = self.roster.take(list, cached, now) else { return false };
+        self.hear(now, &event);
+        true
+    }
+
+    /// The list could not be read when it was asked for.
+    pub fn no_list(&mut self, now: Moment) {
+        self.hear(now, &Event::List { kind: ListKind::Unavailable, entries: Vec::new() });
+    }
+
+    pub fn probed(&mut self, now: Moment, node: NodeId, answered: bool, took: Span, load: Vec<f64>) {
+        self.hear(now, &Event::Probed { node, answered, took, load });
+    }
+
+    fn hear(&mut self, now: Moment, event: &Event) {
+        self.pending = true;
+        if let Err(text) = self.balancer.hear(now, event) {
+            self.out.push(Out::Remark(text));
+        }
+    }
+
+    /// A message of a connection.
+    pub fn message(&mut self, now: Moment, link: LinkId, strings: &[&[u8]]) -> Reply {
+        let party = self.parties.get(&link).copied().unwrap_or(Party::Stranger);
+        let read = message::read(strings, &self.names, &self.bounds);
+        let why = read.as_ref().err().map(ToString::to_string).unwrap_or_default();
+        let message = read.ok();
+        if let Some(stream) = self.stream_of(party) {
+            stream.heard = now;
+        }
+        match (effect(party, message.as_ref()), message) {
+            (Effect::Pong, _) => Reply::Pong,
+            (Effect::Collect, Some(Message::Collector { zone })) => {
+                self.parties.insert(link, Party::Collector(zone));
+                Reply::Known
+            }
+            (Effect::Join, Some(Message::Joined { proxy, zone, usual_rate, standing })) => {
+                if let Some(old) = self.streams.remove(&proxy) {
+                    // A new stream may come before the end of the old one is seen.
+                    self.out.push(Out::Close { link: old.link, why: "its proxy has a newer stream" });
+                    self.parties.remove(&old.link);
+                    self.left(now, proxy);
+                }
+                self.parties.insert(link, Party::Proxy(proxy));
+                self.streams.insert(proxy, Stream { link, heard: now });
+                self.book.join(proxy);
+                self.hear(now, &Event::ProxyJoined { proxy, zone, usual_rate, fresh: standing });
+                Reply::Known
+            }
+            (Effect::Hear, Some(message)) => {
+                self.figures(now, message);
+                Reply::Nothing
+            }
+            (Effect::Close, _) => Reply::Close(why),
+            _ => {
+                self.out.push(Out::Remark(format!("left out: {why}")));
+                Reply::Nothing
+            }
+        }
+    }
+
+    fn stream_of(&mut self, party: Party) -> Option<&mut Stream> {
+        match party {
+            Party::Proxy(proxy) => self.streams.get_mut(&proxy),
+            _ => None,
+        }
+    }
+
+    fn figures(&mut self, now: Moment, message: Message) {
+        match message {
+            Message::Met { zone, node, tries, errored, latency, over, load } => match self.roster.id(&node) {
+                Some(node) => {
+                    self.hear(now, &Event::NodeSums { zone, node, tries, errored, latency, over, load });
+                }
+                None => self.out.push(Out::Remark(format!("sums of a node that was never listed: {node}"))),
+            },
+            Message::Offered { proxy, operation, count, errored, over } => {
+                self.hear(now, &Event::Offered { proxy, operation, count, errored, over });
+            }
+            Message::Applied { proxy, mark, took } => {
+                self.answers.add(now, Slowest(took.seconds()));
+                let marks = self.book.answered(proxy, mark);
+                if marks.is_empty() {
+                    self.out.push(Out::Remark(format!("{proxy:?} answers a mark it was not sent")));
+                }
+                for mark in marks {
+                    self.hear(now, &Event::Acked { proxy, mark, took });
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn left(&mut self, now: Moment, proxy: ProxyId) {
+        self.book.leave(proxy);
+        self.hear(now, &Event::ProxyLeft { proxy });
+    }
+
+    /// A connection has ended.
+    pub fn closed(&mut self, now: Moment, link: LinkId) {
+        if let Some(Party::Proxy(proxy)) = self.parties.remove(&link) {
+            if self.streams.get(&proxy).is_some_and(|stream| stream.link == link) {
+                self.streams.remove(&proxy);
+                self.left(now, proxy);
+            }
+        }
+    }
+
+    /// Settles the moment if it is time, and tells what is to be done.
+    pub fn settle(&mut self, now: Moment) -> Vec<Out> {
+        if now >= self.next_look {
+            self.next_look = now + Span::from_seconds(LOOK);
+            self.look(now);
+        }
+        while let Some((_, timer)) = self.timers.first().copied().filter(|first| first.0 <= now) {
+            self.timers.pop_first();
+            self.hear(now, &Event::Timer { timer });
+        }
+        if self.pending && self.settled.is_none_or(|last| now >= last + self.tick) {
+            (self.pending, self.settled) = (false, Some(now));
+            let mut actions = Vec::new();
+            self.balancer.settle(now, &mut actions);
+            actions.iter().for_each(|action| self.act(now, action));
+            for (proxy, bytes) in self.book.messages(now, &self.roster) {
+                if let Some(Stream { link, .. }) = self.streams.get(&proxy) {
+                    self.out.push(Out::Write { link: *link, bytes });
+                }
+            }
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    fn act(&mut self, now: Moment, action: &Action) {
+        if self.book.order(action) == Kept::Kept {
+            return;
+        }
+        match action {
+            Action::SetTimer { after, timer } => _ = self.timers.insert((now + *after, *timer)),
+            Action::ReadList => self.out.push(Out::ReadList),
+            Action::Probe { node } => {
+                if let Some(address) = self.roster.address(*node) {
+                    self.out.push(Out::Probe { node: *node, address });
+                }
+            }
+            Action::Remark { text } => self.out.push(Out::Remark(text.clone())),
+            // Changes of the list come unasked, and conductors have no way to each other here.
+            Action::Watch { .. } | Action::Tell { .. } => {}
+            _ => {}
+        }
+    }
+
+    /// When `settle` is to be called again if nothing comes.
+    pub fn wake_at(&self) -> Moment {
+        let timer = self.timers.first().map_or(self.next_look, |first| first.0).min(self.next_look);
+        match (self.pending, self.settled) {
+            (true, Some(last)) => timer.min(last + self.tick),
+            (true, None) => Moment::default(),
+            _ => timer,
+        }
+    }
+
+    /// Ends streams that have fallen silent, which nothing else tells of: a machine that vanished sends no
+    /// end, and what waits for its answers would hold up the orders to all others.
+    fn look(&mut self, now: Moment) {
+        let slowest = self.answers.whole(now).0;
+        let limit = Span::from_seconds(SILENT.0 + SILENT.2 * slowest) + self.delay * SILENT.1;
+        let silent = |(proxy, stream): (&ProxyId, &Stream)| {
+            let sent = self.book.unanswered(*proxy)?;
+            (now - sent > limit && now - stream.heard > limit).then_some((*proxy, stream.link))
+        };
+        for (proxy, link) in self.streams.iter().filter_map(silent).collect::<Vec<_>>() {
+            self.streams.remove(&proxy);
+            self.parties.remove(&link);
+            self.out.push(Out::Close { link, why: "it has fallen silent" });
+            self.left(now, proxy);
+        }
+        let (book, roster) = (&self.book, &mut self.roster);
+        roster.forget(now, self.warm_after * NAMES_KEPT, |node| book.names(node));
+    }
+}
--- /dev/null
+++ b/crates/orders/src/roster.rs
@@ -0,0 +1,174 @@
+//! Nodes by the names that the platform gives them, and what discovery says of them. A node's id is made
+//! of its name, so it is the same at every conductor and after every start, as the module is used to.
+
+use serde_json::Value;
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+use wheelspread::ids::{CellId, KindId, NodeId, ZoneId};
+use wheelspread::interface::{Event, ListEntry, ListKind, Listing};
+use wheelspread::time::{Moment, Span};
+use wheelspread_vocabulary::Names;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// One node as discovery mentions it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Mention {
+    pub name: String,
+    pub address: SocketAddrV4,
+    pub zone: ZoneId,
+    pub kind: KindId,
+    pub cell: CellId,
+    pub listing: Listing,
+    pub weight: f64,
+    pub started: Option<Moment>,
+}
+
+/// What discovery said at once.
+#[derive(Clone, Debug, PartialEq)]
+pub struct List {
+    pub version: u64,
+    pub whole: bool,
+    pub mentions: Vec<Mention>,
+    /// Entries that can't be right, and why.
+    pub refused: Vec<String>,
+}
+
+impl List {
+    pub fn read(value: &Value, names: &Names) -> Result<List, String> {
+        let version = value["index"].as_u64().ok_or("a list without its `index`")?;
+        let whole = value["snapshot"].as_bool().ok_or("a list without its `snapshot`")?;
+        let entries = value["endpoints"].as_array().ok_or("a list without its `endpoints`")?;
+        let (mut mentions, mut refused) = (Vec::new(), Vec::new());
+        for entry in entries {
+            match mention(entry, names) {
+                Ok(mention) => mentions.push(mention),
+                Err(text) => refused.push(text),
+            }
+        }
+        Ok(List { version, whole, mentions, refused })
+    }
+}
+
+fn mention(entry: &Value, names: &Names) -> Result<Mention, String> {
+    let name = entry["name"].as_str().filter(|name| !name.is_empty()).ok_or("a node without a name")?;
+    let text = |field: &str| entry[field].as_str().ok_or_else(|| format!("{name} has no `{field}`"));
+    let place = |field: &str, known: &[String]| {
+        let text = text(field)?;
+        let place = known.iter().position(|known| known == text);
+        place.ok_or_else(|| format!("{name} has a `{field}` that the settings don't name: {text}"))
+    };
+    let listing = match text("status")? {
+        "Ready" => Listing::Ready,
+        "Terminating" => Listing::Draining,
+        "Gone" => Listing::Gone,
+        other => return Err(format!("{name} is said to be {other}")),
+    };
+    let address = text("address")?;
+    let started = entry["since_ms"].as_f64().filter(|millis| *millis > 0.0);
+    Ok(Mention {
+        name: name.to_string(),
+        address: address.parse().map_err(|_| format!("{name} has no address in {address}"))?,
+        zone: ZoneId(place("zone", &names.zones)? as u16),
+        kind: KindId(place("type", &names.kinds)? as u8),
+        cell: CellId(entry["group"].as_u64().unwrap_or(0).min(u64::from(u16::MAX)) as u16),
+        listing,
+        weight: entry["weight"].as_f64().unwrap_or(1.0),
+        started: started.map(|millis| Moment::from_seconds(millis / 1e3)),
+    })
+}
+
+#[derive(Clone, Debug)]
+struct Known {
+    name: String,
+    address: SocketAddrV4,
+    listed: bool,
+    since: Moment,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Roster {
+    ids: BTreeMap<String, NodeId>,
+    nodes: BTreeMap<NodeId, Known>,
+    /// Of what was taken last; nothing was before the first whole list.
+    version: Option<u64>,
+}
+
+impl Roster {
+    pub fn version(&self) -> Option<u64> {
+        self.version
+    }
+
+    pub fn name(&self, id: NodeId) -> Option<&str> {
+        self.nodes.get(&id).map(|known| known.name.as_str())
+    }
+
+    pub fn address(&self, id: NodeId) -> Option<SocketAddrV4> {
+        self.nodes.get(&id).map(|known| known.address)
+    }
+
+    pub fn id(&self, name: &str) -> Option<NodeId> {
+        self.ids.get(name).copied()
+    }
+
+    /// The id of a name; two names that fall on one id get neighbouring ones.
+    fn enter(&mut self, mention: &Mention, now: Moment) -> NodeId {
+        let id = self.ids.get(&mention.name).copied().unwrap_or_else(|| {
+            let [a, b, c, d, e, f, ..] = xxh3_64(mention.name.as_bytes()).to_le_bytes();
+            let mut id = NodeId { address: [a, b, c, d], port: u16::from_le_bytes([e, f]) };
+            while self.nodes.contains_key(&id) {
+                id.port = id.port.wrapping_add(1);
+            }
+            id
+        });
+        let listed = mention.listing != Listing::Gone;
+        let known = Known { name: mention.name.clone(), address: mention.address, listed, since: now };
+        self.ids.insert(mention.name.clone(), id);
+        self.nodes.insert(id, known);
+        id
+    }
+
+    /// What the list tells the module; nothing, where it is older than what was taken.
+    pub fn take(&mut self, list: &List, cached: bool, now: Moment) -> Option<Event> {
+        let stale = self.version.is_some_and(|version| {
+            // A whole list of the same version may repair what a lost change left out.
+            if list.whole {
+                list.version < version
+            } else {
+                list.version <= version
+            }
+        });
+        if stale || (!list.whole && self.version.is_none()) {
+            return None;
+        }
+        self.version = Some(list.version);
+        if list.whole {
+            for known in self.nodes.values_mut().filter(|known| known.listed) {
+                (known.listed, known.since) = (false, now);
+            }
+        }
+        let entry = |mention: &Mention| ListEntry {
+            node: self.enter(mention, now),
+            zone: mention.zone,
+            kind: mention.kind,
+            cell: mention.cell,
+            listing: mention.listing,
+            weight: mention.weight,
+            started: mention.started,
+        };
+        let entries = list.mentions.iter().map(entry).collect();
+        let kind = match (cached, list.whole) {
+            (true, _) => ListKind::Cached,
+            (_, true) => ListKind::Complete,
+            _ => ListKind::Changes,
+        };
+        Some(Event::List { kind, entries })
+    }
+
+    /// Lets go of nodes that are long gone and that no table names: a fleet that is replaced again and
+    /// again would fill the memory with names.
+    pub fn forget(&mut self, now: Moment, after: Span, held: impl Fn(NodeId) -> bool) {
+        self.nodes.retain(|id, known| known.listed || now - known.since < after || held(*id));
+        let nodes = &self.nodes;
+        self.ids.retain(|_, id| nodes.contains_key(id));
+    }
+}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,13 @@
+//! The conductor on a platform that speaks to it by messages on plain connections (docs/platform.md): its
+//! configuration (`file`), the connections of proxies and collectors (`link`), calls to discovery and to
+//! nodes (`call`), and the loop that turns them (`service`). Limits of buffers, descriptors and of how long
+//! strangers are waited for are kept here; everything else is decided beneath `wheelspread-orders`.
+
+mod call;
+mod clock;
+mod file;
+mod link;
+mod service;
+
+pub use file::{BadFile, PlatformFile};
+pub use service::Service;
--- a/crates/reactor/src/lib.rs
+++ b/crates/reactor/src/lib.rs
@@ -174,8 +174,13 @@
 
 /// All connections that wait; an accept that fails for want of descriptors is told.
 pub fn accept(listener: &TcpListener) -> (Vec<TcpStream>, Option<io::Error>) {
+    accept_at_most(listener, usize::MAX)
+}
+
+/// The same, so many at most: for who has few descriptors and decides between those who come.
+pub fn accept_at_most(listener: &TcpListener, most: usize) -> (Vec<TcpStream>, Option<io::Error>) {
     let mut accepted = Vec::new();
-    loop {
+    while accepted.len() < most {
         match listener.accept() {
             Ok((stream, _)) => {
                 if stream.set_nonblocking(true).is_ok() {
@@ -188,6 +193,7 @@
             Err(error) => return (accepted, Some(error)),
         }
     }
+    (accepted, None)
 }
 
 /// Begins to connect; the socket becomes writable when it is through, or closed when it failed.
--- a/crates/wheelspread-adapter/src/main.rs
+++ b/crates/wheelspread-adapter/src/main.rs
@@ -84,7 +84,9 @@
             Record::Boot { seed, settings } => {
                 self.failed.remove(&conductor);
                 self.instances.remove(&conductor);
-                match wire::settings(&settings).and_then(|facts| Balancer::start(now, seed, facts)) {
+                match wheelspread_vocabulary::read(&settings)
+                    .and_then(|facts| Balancer::start(now, seed, facts))
+                {
                     Ok(balancer) => drop(self.instances.insert(conductor, balancer)),
                     Err(text) => {
                         self.failed.insert(conductor);
