--- a/crates/orders/src/tests.rs
+++ b/crates/orders/src/tests.rs
@@ -1,1 +1,351 @@
+//! Scripts in `scenarios/`, a line each, `#` begins a comment:
+//!
+//!     TIME list VERSION NAME:ZONE[:STATUS][:AGE] ..    the whole list; `change` for changes of it
+//!     TIME link KEY WORDS ..                            a message on that connection
+//!     TIME answer KEY                                   it answers the newest mark it was sent
+//!     TIME end KEY                                      the connection ends
+//!     TIME settle                                       nothing happens
+//!     expect reply nothing|known|pong|close             to the last message
+//!     expect told KEY WORDS ..                          in what it was sent since it was last looked at
+//!     expect untold KEY [WORDS ..]                      nothing was, or nothing with these words in it
+//!     expect closed KEY                                 its connection is to be ended
+//!     expect proxies N
+//!
+//! After each line with a time the moment is settled. `FROM..TO/EVERY` repeats a line.
 
+use crate::book::{Book, Kept};
+use crate::message::{read, BadMessage, Bounds};
+use crate::roster::Roster;
+use crate::{Desk, LinkId, List, Out, Reply};
+use serde_json::{json, Value};
+use std::collections::BTreeMap;
+use test_case::test_case;
+use wheelspread::ids::*;
+use wheelspread::interface::{Action, ListKind, Listing, Retry};
+use wheelspread::time::{Moment, Span};
+use wheelspread_resp::{Limits, Reader};
+use wheelspread_vocabulary::{settings, Names};
+
+const EPOCH: f64 = 1000.0;
+
+fn settings_of() -> Value {
+    json!({"az": 0, "me": 0, "peers_total": 2, "discovery": "push", "tick": 0.005,
+        "zones": ["a", "b"], "kinds": ["k"],
+        "classes": [
+            {"name": "lookup", "aim": 1.5, "deadline": 5.0, "worth": 3.0, "idempotency": "read_like"},
+            {"name": "order", "aim": 1.5, "deadline": 5.0, "worth": 2.0, "idempotency": "non_idempotent"}],
+        "feedback": {"fields": ["busy", "q"], "via": "piggyback"},
+        "limits": {"probes": true, "peer_messages": false, "conn_idle": 15.0},
+        "rules": {"overload_factor": 4.0, "start_capacity": 0.22, "warm_after": 16.0,
+            "stop_sending_within": 3.0},
+        "extra": {"admit": "ratio", "backlog": 24000.0, "bare": 2.0, "head": 4.0, "period": 1.0,
+            "proxy_count": 8, "push_delay_max": 0.5, "push_rate": 12000.0, "pushes_allowed": 20,
+            "update_window": 10.0, "fails_to_eject": 8}})
+}
+
+fn desk() -> Desk {
+    let value = settings_of();
+    Desk::start(Moment::from_seconds(EPOCH), 7, settings(&value), Names::read(&value)).expect("fine")
+}
+
+/// What was written, as words.
+fn texts(bytes: &[u8]) -> Vec<String> {
+    let mut reader = Reader::new(Limits { message: 1 << 20, strings: 64 });
+    reader.feed(bytes);
+    let mut texts = Vec::new();
+    while let Some(strings) = reader.message().expect("messages") {
+        let words: Vec<_> = strings.iter().map(|string| String::from_utf8_lossy(string)).collect();
+        texts.push(words.join(" "));
+    }
+    texts
+}
+
+/// Whether the words stand there one after the other; `*` is any word; of a list
+/// the parts that are named are looked for.
+fn says(text: &str, words: &[&str]) -> bool {
+    let said: Vec<&str> = text.split(' ').collect();
+    let same = |(said, word): (&&str, &&str)| {
+        let parts =
+            |text: &str| text.split(',').map(str::to_string).collect::<std::collections::BTreeSet<_>>();
+        *word == "*" || parts(word).is_subset(&parts(said))
+    };
+    said.windows(words.len()).any(|some| some.iter().zip(words).all(same))
+}
+
+struct Stage {
+    desk: Desk,
+    now: f64,
+    reply: Reply,
+    told: BTreeMap<u64, Vec<String>>,
+    marks: BTreeMap<u64, String>,
+    closed: Vec<u64>,
+}
+
+fn key(word: &str) -> u64 {
+    word.parse().unwrap_or_else(|_| panic!("{word} is no connection"))
+}
+
+impl Stage {
+    fn list(&mut self, whole: bool, words: &[&str]) {
+        let now = self.now;
+        let entry = |word: &&str| {
+            let parts: Vec<&str> = word.split(':').collect();
+            let status = parts.get(2).filter(|status| !status.is_empty()).unwrap_or(&"Ready");
+            let since = parts.get(3).map_or(0.0, |age| (now - age.parse::<f64>().expect("an age")) * 1e3);
+            json!({"name": parts[0], "address": "127.0.0.9:80", "zone": parts[1], "type": "k", "group": 1,
+                "status": status, "weight": 1.0, "since_ms": since})
+        };
+        let version: u64 = words[0].parse().expect("a version");
+        let entries: Vec<Value> = words[1..].iter().map(entry).collect();
+        let value = json!({"index": version, "snapshot": whole, "endpoints": entries});
+        let list = List::read(&value, self.desk.names()).expect("a list");
+        self.desk.list(Moment::from_seconds(now), &list, false);
+    }
+
+    fn play(&mut self, time: f64, words: &[&str]) {
+        self.now = EPOCH + time;
+        let now = Moment::from_seconds(self.now);
+        match words[0] {
+            "list" => self.list(true, &words[1..]),
+            "change" => self.list(false, &words[1..]),
+            "link" => {
+                let strings: Vec<&[u8]> = words[2..].iter().map(|word| word.as_bytes()).collect();
+                self.reply = self.desk.message(now, LinkId(key(words[1])), &strings);
+            }
+            "answer" => {
+                let link = key(words[1]);
+                let mark = self.marks.get(&link).cloned().expect("a mark");
+                let proxy = (link % 10).to_string();
+                let strings = ["applied", "sidecar", &proxy, "version", &mark, "lag_ms", "300.5"];
+                let strings: Vec<&[u8]> = strings.iter().map(|word| word.as_bytes()).collect();
+                self.reply = self.desk.message(now, LinkId(link), &strings);
+            }
+            "end" => self.desk.closed(now, LinkId(key(words[1]))),
+            "settle" => {}
+            other => panic!("no such line: {other}"),
+        }
+        for out in self.desk.settle(now) {
+            match out {
+                Out::Write { link, bytes } => {
+                    for text in texts(&bytes) {
+                        if let Some((_, mark)) = text.split_once("stamp ") {
+                            self.marks.insert(link.0, mark.split(' ').next().unwrap_or("").to_string());
+                        }
+                        self.told.entry(link.0).or_default().push(text);
+                    }
+                }
+                Out::Close { link, .. } => self.closed.push(link.0),
+                _ => {}
+            }
+        }
+    }
+
+    fn expect(&mut self, line: &str, words: &[&str]) {
+        let mut told = |link: &str| self.told.remove(&key(link)).unwrap_or_default();
+        match words[0] {
+            "reply" => {
+                let reply = match &self.reply {
+                    Reply::Nothing => "nothing",
+                    Reply::Known => "known",
+                    Reply::Pong => "pong",
+                    Reply::Close(_) => "close",
+                };
+                assert_eq!(reply, words[1], "{line}");
+            }
+            "told" => {
+                let told = told(words[1]);
+                assert!(told.iter().any(|text| says(text, &words[2..])), "{line}\nbut {told:#?}");
+            }
+            "untold" => {
+                let told = told(words[1]);
+                let any = told.iter().any(|text| words.len() == 2 || says(text, &words[2..]));
+                assert!(!any, "{line}\nbut {told:#?}");
+            }
+            "closed" => assert!(self.closed.contains(&key(words[1])), "{line}\nbut {:?}", self.closed),
+            "open" => assert!(!self.closed.contains(&key(words[1])), "{line}\nbut {:?}", self.closed),
+            "proxies" => assert_eq!(self.desk.proxies().to_string(), words[1], "{line}"),
+            other => panic!("no such expectation: {other}"),
+        }
+    }
+}
+
+#[test_case(include_str!("../scenarios/join.txt"); "joins and changes")]
+#[test_case(include_str!("../scenarios/door.txt"); "who may say what")]
+#[test_case(include_str!("../scenarios/spoilt.txt"); "spoilt reports and answers")]
+#[test_case(include_str!("../scenarios/streams.txt"); "streams that break and come back")]
+#[test_case(include_str!("../scenarios/silent.txt"); "streams that fall silent")]
+#[test_case(include_str!("../scenarios/lists.txt"); "lists that come late or twice")]
+fn plays(script: &str) {
+    let (told, marks, closed) = Default::default();
+    let mut stage = Stage { desk: desk(), now: EPOCH, reply: Reply::Nothing, told, marks, closed };
+    for line in script.lines() {
+        let line = line.split('#').next().unwrap_or("").trim();
+        let words: Vec<&str> = line.split_whitespace().collect();
+        match words.split_first() {
+            None => {}
+            Some((&"expect", rest)) => stage.expect(line, rest),
+            Some((time, rest)) => match time.split_once("..") {
+                None => stage.play(time.parse().expect("a time"), rest),
+                Some((from, to)) => {
+                    let (to, every) = to.split_once('/').expect("TO/EVERY");
+                    let number = |text: &str| text.parse::<f64>().expect("a number");
+                    let (from, to, every) = (number(from), number(to), number(every));
+                    let count = ((to - from) / every).round() as usize;
+                    (0..=count).for_each(|at| stage.play(from + every * at as f64, rest));
+                }
+            },
+        }
+    }
+}
+
+fn names() -> Names {
+    Names::read(&settings_of())
+}
+
+const BOUNDS: Bounds = Bounds { proxies: 8, longest_try: Span::ZERO };
+
+#[test_case("joined sidecar 8 az a share 1 standing 1", "sidecar"; "a proxy that there is not")]
+#[test_case("joined sidecar 1 az c share 1 standing 1", "names nothing"; "a zone that there is not")]
+#[test_case("joined sidecar 1 az a share nan standing 1", "share"; "no number")]
+#[test_case("joined sidecar 1 az a share 1 standing 2", "standing"; "neither yes nor no")]
+#[test_case("joined sidecar 1 az a share 1", "standing"; "a field is missing")]
+#[test_case("heard az a host x n 5 bad 6 avg 1 window 1000", "bad"; "more failed than were tried")]
+#[test_case("heard az a host x n 5.5 bad 0 avg 1 window 1000", "`n`"; "half a try")]
+#[test_case("heard az a host x n 5 bad 0 avg -1 window 1000", "avg"; "time that runs back")]
+#[test_case("heard az a host x n 5 bad 0 window 1000", "avg"; "no mean of those that succeeded")]
+#[test_case("heard az a host x n 5 bad 5 avg 0 window 0", "window"; "over no time")]
+#[test_case("heard az a host x n 5 bad 5 window 1000 report busy:7", "report"; "busier than can be")]
+#[test_case("heard az a host x n 5 bad 5 window 1000 report heat:1", "names nothing"; "an unknown figure")]
+#[test_case("usage sidecar 1 kind fetch n 1 bad 0 window 1000", "names nothing"; "an unknown operation")]
+#[test_case("usage sidecar 1 kind lookup n 99999999999 bad 0 window 1000", "`n`"; "more than can be")]
+#[test_case("applied sidecar 1 version 70000 lag_ms 1", "version"; "a mark that can't be")]
+#[test_case("applied sidecar 1 version 7 lag_ms inf", "lag_ms"; "for ever")]
+#[test_case("applied sidecar 1 version 7 version 8 lag_ms 1", "twice"; "two answers in one")]
+#[test_case("update drop x", "`update` is no message"; "an order")]
+#[test_case("ping now", "without a value"; "a name without a value")]
+fn what_can_t_be_is_refused_and_named(text: &str, why: &str) {
+    let strings: Vec<&[u8]> = text.split(' ').map(str::as_bytes).collect();
+    let refused: BadMessage = read(&strings, &names(), &BOUNDS).expect_err("it can't be");
+    assert!(refused.to_string().contains(why), "{refused}");
+}
+
+/// A book with two listed nodes, and what a stream is told of some orders.
+fn book() -> (Book, Roster, [NodeId; 2]) {
+    let mut roster = Roster::default();
+    let entries: Vec<Value> = ["x", "y"]
+        .iter()
+        .map(|name| {
+            json!({"name": name, "address": "127.0.0.9:80", "zone": "a", "type": "k", "group": 1,
+            "status": "Ready", "weight": 1.0, "since_ms": 0})
+        })
+        .collect();
+    let list = List::read(&json!({"index": 1, "snapshot": true, "endpoints": entries}), &names());
+    roster.take(&list.expect("a list"), true, Moment::default());
+    let ids = ["x", "y"].map(|name| roster.id(name).expect("listed"));
+    let mut book = Book::new(&names().operations);
+    book.join(ProxyId(0));
+    (book, roster, ids)
+}
+
+fn told(book: &mut Book, roster: &Roster, actions: &[Action]) -> Vec<String> {
+    assert!(actions.iter().all(|action| book.order(action) == Kept::Kept));
+    let messages = book.messages(Moment::default(), roster);
+    messages.iter().flat_map(|(_, bytes)| texts(bytes)).collect()
+}
+
+fn bind(table: u16, operations: &[u8]) -> Action {
+    let operations = operations.iter().map(|at| OperationId(*at)).collect();
+    Action::Bind { proxy: ProxyId(0), table: TableId(table), operations }
+}
+
+fn line(table: u16, node: NodeId, weight: f64) -> Action {
+    Action::SetLine { table: TableId(table), node, weight }
+}
+
+fn level(table: Option<u16>, operations: &[u8], quota: f64, retry: Retry) -> Action {
+    let operations = operations.iter().map(|at| OperationId(*at)).collect();
+    Action::SetLevel { table: table.map(TableId), operations, quota, retry }
+}
+
+#[test]
+fn a_table_is_told_whole_once_and_then_by_its_changes() {
+    let (mut book, roster, [x, y]) = book();
+    let mark = |mark| Action::Mark { mark: MarkId(mark), everyone: false };
+    let first = [line(3, x, 1.5), line(3, y, 0.1), bind(3, &[]), mark(9)];
+    let said = told(&mut book, &roster, &first);
+    assert!(says(&said[0], &["update", "replace", "1", "rows", "x:1.5,y:0.1", "stamp", "9"]), "{said:?}");
+    assert_eq!(told(&mut book, &roster, &[line(3, x, 0.0), mark(10)]), ["update rows x:0 stamp 10"]);
+    assert_eq!(told(&mut book, &roster, &[line(4, x, 2.0), mark(11)]).len(), 0, "another table");
+    assert_eq!(book.answered(ProxyId(0), MarkId(10)), [MarkId(9), MarkId(10)], "an answer covers all before");
+    assert_eq!(book.answered(ProxyId(0), MarkId(11)), [], "that was never sent");
+    let all = Action::Mark { mark: MarkId(12), everyone: true };
+    assert_eq!(told(&mut book, &roster, &[all]), ["update stamp 12"]);
+    let cleared = told(&mut book, &roster, &[Action::ClearTable { table: TableId(3) }]);
+    assert_eq!(cleared, ["update replace 1"]);
+}
+
+#[test]
+fn levels_go_with_the_lines_where_one_holds_for_all_and_apart_where_not() {
+    let (mut book, roster, [x, _]) = book();
+    let usual = Retry::AfterProofItNeverRan;
+    let same = [line(0, x, 1.0), level(Some(0), &[0, 1], 0.9, usual), bind(0, &[0, 1])];
+    assert_eq!(told(&mut book, &roster, &same), ["update replace 1 rows x:1 gate 0.9 again 1"]);
+    let one = told(&mut book, &roster, &[level(Some(0), &[1], 0.5, Retry::Never)]);
+    assert_eq!(one, ["update for order gate 0.5 again 0"]);
+    // For all: the lower level, and the table's own way of trying again.
+    let all = told(&mut book, &roster, &[level(None, &[], 0.7, Retry::TwiceAfterAnyFailure)]);
+    assert_eq!(all, ["update for lookup gate 0.7 again 1 part 1", "update for order gate 0.5 again 0"]);
+    let again = told(&mut book, &roster, &[bind(0, &[0, 1])]);
+    let parts = ["update replace 1 rows x:1 part 1", "update for lookup gate 0.7 again 1 part 1"];
+    assert_eq!(again[..2], parts, "what holds for all is in every whole table");
+}
+
+#[test]
+fn withdrawals_reach_who_holds_the_node_and_are_taken_back() {
+    let (mut book, roster, [x, y]) = book();
+    told(&mut book, &roster, &[line(0, x, 1.0), bind(0, &[])]);
+    let withdraw = |node, out| Action::Withdraw { node, out };
+    assert_eq!(told(&mut book, &roster, &[withdraw(y, true)]).len(), 0, "it does not hold it");
+    assert_eq!(told(&mut book, &roster, &[line(0, y, 1.0)]), ["update rows y:1 drop y"]);
+    assert_eq!(told(&mut book, &roster, &[withdraw(y, false)]), ["update undrop y"]);
+    // A proxy keeps withdrawals over a change of streams.
+    book.leave(ProxyId(0));
+    book.join(ProxyId(0));
+    let said = told(&mut book, &roster, &[bind(0, &[])]);
+    assert!(says(&said[0], &["undrop", "y"]), "{said:?}");
+}
+
+#[test]
+fn a_list_that_is_late_changes_nothing_and_a_bad_entry_spoils_no_other() {
+    let entry = |name: &str, zone: &str, status: &str| {
+        json!({"name": name, "address": "127.0.0.9:80", "zone": zone, "type": "k", "group": 1,
+            "status": status, "weight": 1.0, "since_ms": 5000})
+    };
+    let list = |version: u64, whole: bool, entries: Vec<Value>| {
+        let value = json!({"index": version, "snapshot": whole, "endpoints": entries});
+        List::read(&value, &names()).expect("a list")
+    };
+    let mut roster = Roster::default();
+    let now = Moment::default();
+    let changes = list(4, false, vec![entry("x", "a", "Ready")]);
+    assert_eq!(roster.take(&changes, false, now), None, "changes of nothing");
+    let first =
+        list(4, true, vec![entry("x", "a", "Ready"), entry("y", "c", "Ready"), entry("z", "b", "Lost")]);
+    assert_eq!((first.mentions.len(), first.refused.len()), (1, 2));
+    assert_eq!(first.mentions[0].started, Some(Moment::from_seconds(5.0)));
+    assert!(roster.take(&first, false, now).is_some());
+    assert_eq!(roster.take(&list(3, true, vec![]), false, now), None, "a list from before");
+    assert_eq!(roster.take(&changes, false, now), None, "changes that were in the whole list");
+    let gone = roster.take(&list(5, false, vec![entry("x", "a", "Gone")]), false, now);
+    let Some(wheelspread::interface::Event::List { kind: ListKind::Changes, entries }) = gone else {
+        panic!("changes, not {gone:?}")
+    };
+    assert_eq!(entries[0].listing, Listing::Gone);
+    let later = now + Span::from_seconds(100.0);
+    roster.forget(later, Span::from_seconds(160.0), |_| false);
+    assert!(roster.id("x").is_some(), "late sums may still name it");
+    roster.forget(later, Span::from_seconds(60.0), |_| true);
+    assert!(roster.id("x").is_some(), "a table names it");
+    roster.forget(later, Span::from_seconds(60.0), |_| false);
+    assert_eq!(roster.id("x"), None);
+}
--- a/crates/platform/src/service.rs
+++ b/crates/platform/src/service.rs
@@ -254,7 +254,7 @@
         let desk = &mut self.desk;
         let counts = &mut self.counts;
         let read = link.read(&mut self.scratch, |link| loop {
-            let reply = match link.reader.next()? {
+            let reply = match link.reader.message()? {
                 Some(strings) => desk.message(now, LinkId(token), &strings),
                 None => return Ok(()),
             };
--- a/crates/resp/src/lib.rs
+++ b/crates/resp/src/lib.rs
@@ -113,7 +113,7 @@
     }
 
     /// The next whole message; `None` until more bytes come. After an error there is none any more.
-    pub fn next(&mut self) -> Result<Option<Vec<&[u8]>>, BadMessage> {
+    pub fn message(&mut self) -> Result<Option<Vec<&[u8]>>, BadMessage> {
         if let Some(error) = self.broken {
             return Err(error);
         }
@@ -230,7 +230,7 @@
 
     fn all(reader: &mut Reader) -> Result<Vec<Vec<Vec<u8>>>, BadMessage> {
         let mut messages = Vec::new();
-        while let Some(message) = reader.next()? {
+        while let Some(message) = reader.message()? {
             messages.push(message.into_iter().map(<[u8]>::to_vec).collect());
         }
         Ok(messages)
@@ -261,15 +261,15 @@
     fn memory_is_given_back_between_messages_and_never_taken_for_a_named_length() {
         let mut reader = Reader::new(Limits { message: 1 << 20, strings: 8 });
         reader.feed(b"*1\r\n$900000\r\nabc");
-        assert_eq!(reader.next(), Ok(None));
+        assert_eq!(reader.message(), Ok(None));
         assert!(reader.pending() == 16 && reader.held() < 1000);
         let mut reader = Reader::new(LIMITS);
         reader.feed(b"*1\r\n$4\r\nping\r\n");
-        assert_eq!(reader.next(), Ok(Some(vec![&b"ping"[..]])));
+        assert_eq!(reader.message(), Ok(Some(vec![&b"ping"[..]])));
         reader.rest();
         assert_eq!(reader.held(), 0);
         reader.feed(b"*1\r\n$4\r\npong\r\n");
-        assert_eq!(reader.next(), Ok(Some(vec![&b"pong"[..]])));
+        assert_eq!(reader.message(), Ok(Some(vec![&b"pong"[..]])));
     }
 
     proptest! {
