--- a/crates/orders/src/tests.rs
+++ b/crates/orders/src/tests.rs
@@ -11,7 +11,8 @@
 //!     expect closed KEY                                 its connection is to be ended
 //!     expect proxies N
 //!
-//! After each line with a time the moment is settled. `FROM..TO/EVERY` repeats a line.
+//! After each line with a time the moment is settled. `FROM..TO/EVERY` repeats a line; between two
+//! expectations lines are played in the order of their times.
 
 use crate::book::{Book, Kept};
 use crate::message::{read, BadMessage, Bounds};
@@ -164,6 +165,7 @@
             "closed" => assert!(self.closed.contains(&key(words[1])), "{line}\nbut {:?}", self.closed),
             "open" => assert!(!self.closed.contains(&key(words[1])), "{line}\nbut {:?}", self.closed),
             "proxies" => assert_eq!(self.desk.proxies().to_string(), words[1], "{line}"),
+            "end" => {}
             other => panic!("no such expectation: {other}"),
         }
     }
@@ -178,22 +180,25 @@
 fn plays(script: &str) {
     let (told, marks, closed) = Default::default();
     let mut stage = Stage { desk: desk(), now: EPOCH, reply: Reply::Nothing, told, marks, closed };
-    for line in script.lines() {
+    let mut lines: Vec<(f64, Vec<&str>)> = Vec::new();
+    for line in script.lines().chain(["expect end"]) {
         let line = line.split('#').next().unwrap_or("").trim();
         let words: Vec<&str> = line.split_whitespace().collect();
         match words.split_first() {
             None => {}
-            Some((&"expect", rest)) => stage.expect(line, rest),
-            Some((time, rest)) => match time.split_once("..") {
-                None => stage.play(time.parse().expect("a time"), rest),
-                Some((from, to)) => {
-                    let (to, every) = to.split_once('/').expect("TO/EVERY");
-                    let number = |text: &str| text.parse::<f64>().expect("a number");
-                    let (from, to, every) = (number(from), number(to), number(every));
-                    let count = ((to - from) / every).round() as usize;
-                    (0..=count).for_each(|at| stage.play(from + every * at as f64, rest));
-                }
-            },
+            Some((&"expect", rest)) => {
+                lines.sort_by(|a, b| a.0.total_cmp(&b.0));
+                lines.drain(..).for_each(|(time, words)| stage.play(time, &words));
+                stage.expect(line, rest);
+            }
+            Some((time, rest)) => {
+                let number = |text: &str| text.parse::<f64>().expect("a number");
+                let (from, to) = time.split_once("..").unwrap_or((time, time));
+                let (to, every) = to.split_once('/').unwrap_or((to, "1"));
+                let (from, to, every) = (number(from), number(to), number(every));
+                let count = ((to - from) / every).round() as usize;
+                lines.extend((0..=count).map(|at| (from + every * at as f64, rest.to_vec())));
+            }
         }
     }
 }
