--- a/crates/wheelspread/src/balance.rs
+++ b/crates/wheelspread/src/balance.rs
@@ -108,7 +108,7 @@
 const QUEUE: (f64, f64, f64) = (0.12, 3.4, 0.65); // wait at the quickest, and the shape of load over wait
 const QUEUED: (f64, f64) = (0.66, 0.3); // the most load without a queue; more for each invocation waiting
 const FORGET: (f64, f64) = (1.003, 0.02); // each period: the quickest time; a figure's distance to its kind
-const ERRS: (f64, f64) = (0.25, 1.0); // of tries: with more its queue shows; objectives an errored try counts
+const ERRS: (f64, f64, f64) = (0.25, 1.0, 2.0); // of tries: its queue shows; objectives each counts; to all
 const UNHEARD: f64 = 0.15; // of demand: with more of it out of reach, sums teach nothing
 const SLOWER: (f64, f64, f64) = (0.3, 0.4, 1.25); // power of the ratio of times, least and most it changes
 const USUAL_LOAD: f64 = 0.6; // of capacity, assumed before anything is heard
@@ -329,6 +329,8 @@
         };
         let times: BTreeMap<NodeId, f64> = self.nodes.iter().map(|(id, node)| (*id, time(node))).collect();
         let (mut kinds, mut all) = (BTreeMap::<KindId, (f64, f64)>::new(), (0.0, 0.0));
+        let errs = self.nodes.values().map(|node| node.fresh.errored).sum::<f64>()
+            / self.nodes.values().map(|node| node.fresh.tries).sum::<f64>().max(1.0);
         for (id, node) in &self.nodes {
             for sum in [kinds.entry(node.kind).or_default(), &mut all] {
                 *sum = (sum.0 + node.fresh.tries * times[id], sum.1 + node.fresh.tries);
@@ -349,7 +351,9 @@
             let weight = fresh.tries / (fresh.tries + EVIDENCE);
             node.evidence += 2.0 * weight;
             // With no figure at all, as after a start in the middle of an overload, its queue must do.
-            let erring = fresh.errored > fresh.tries * ERRS.0 && node.capacity.get().is_some();
+            // What errs far more than the fleet is itself too slow for what it gets, and must show that.
+            let share = fresh.errored / fresh.tries;
+            let erring = share > ERRS.0 && share < errs * ERRS.2 && node.capacity.get().is_some();
             match node.utilization.get().and(pressure) {
                 // The first reports speak of the time before; a node that errs much shows its queue.
                 Some(busy) if busy > 0.1 && rate > 0.0 && node.evidence > FIRST_SUMS && !erring => {
--- a/crates/wheelspread/src/measure.rs
+++ b/crates/wheelspread/src/measure.rs
@@ -168,8 +168,12 @@
         sum
     }
 
-    /// How many times the joined proxies' load there may be: unheard proxies, and conductors not heard.
+    /// How many times the joined proxies' load there may be: unheard proxies, and conductors not heard. Where
+    /// conductors never hear of each other, what nodes are seen to do is counted by own proxies too.
     pub(crate) fn beyond(&self, since: Moment) -> f64 {
+        if self.fact("conductor.count") > 1.0 && !self.facts.flag_or("peers.may_tell", false) {
+            return 1.0;
+        }
         let joined = self.proxies.values().filter(|proxy| proxy.joined).count() as f64;
         // What peers' proxies bring is counted by itself.
         let told: f64 = self.peers.values().filter(|peer| peer.heard >= since).map(|peer| peer.proxies).sum();
