Kinds begin by the times of their first invocations; measures forget sooner

Listed weights here tell of cores, not of speed, so the slow kind of three cores gets as much as the quick one until capacity is known, two to three seconds later, and its queues last ten seconds more.

--- a/crates/wheelspread/src/balance.rs
+++ b/crates/wheelspread/src/balance.rs
@@ -98,10 +98,10 @@
 const WEIGHT_SUM: f64 = 100.0; // of a table that is written for the first time
 const KEPT: f64 = 0.35; // of what a table's target gives warm nodes: with less it is taken whole
 const DUST: f64 = 0.002; // of a table's traffic: smaller lines are left out
-const MEMORY: (f64, f64) = (6.0, 3.0); // sums' cycles: of measures; how long an unheard path has a rate
+const MEMORY: (f64, f64) = (4.0, 3.0); // sums' cycles: of measures; how long an unheard path has a rate
 const PEERS: (f64, f64) = (12.0, 2.0); // sums' periods: how long a peer's note stands; between two
 const PRIOR: f64 = 3.0; // full periods: what the kind's mean counts beside a node's own sums
-const EVIDENCE: f64 = 5.0; // invocations: as many weigh as half a full period
+const EVIDENCE: f64 = 3.0; // invocations: as many weigh as half a full period
 const RECALLED: f64 = 0.5; // of the evidence from before a restart
 const FIRST_SUMS: f64 = 1.5; // full periods that teach no capacity yet
 const LEARN: (f64, f64) = (0.22, 0.12); // a period, of a kind's distance in time to the fleet, a node's to it
@@ -111,6 +111,7 @@
 const ERRS: (f64, f64, f64) = (0.25, 1.0, 2.0); // of tries: its queue shows; objectives each counts; to all
 const UNHEARD: f64 = 0.15; // of demand: with more of it out of reach, sums teach nothing
 const SLOWER: (f64, f64, f64) = (0.3, 0.4, 1.25); // power of the ratio of times, least and most it changes
+const QUICKNESS: (f64, f64) = (0.5, 1.6); // to the fleet's speed: least and most that a kind's times tell
 const USUAL_LOAD: f64 = 0.6; // of capacity, assumed before anything is heard
 const COMFORT: (f64, f64, f64) = (0.6, 3.0, 0.08); // of a zone; more by its price; over the fleet
 const FULL: f64 = 0.77; // of capacity: what admission aims at under overload
@@ -404,9 +405,19 @@
         let known = |n: &Node| n.capacity.get().filter(|_| n.evidence > PRIOR).map(f64::exp);
         let seen = |n: &Node| Some(n.peak).filter(|peak| *peak > 0.0);
         let kinds: BTreeSet<KindId> = self.nodes.values().map(|node| node.kind).collect();
-        let means = |k: KindId| (k, (self.by_weight(k, known).unwrap_or(blind), self.by_weight(k, seen)));
+        let means = |k: KindId| {
+            let own = self.by_weight(k, known).unwrap_or_else(|| blind * self.quickness(k));
+            (k, (own, self.by_weight(k, seen)))
+        };
         self.each = kinds.into_iter().map(means).collect();
-        self.usual_time = self.mean_time();
+        self.usual_time = self.mean_time(|_| true).unwrap_or(1.0);
+    }
+
+    /// How much quicker a kind is than the fleet, by the times of its warm nodes: what it does while nothing
+    /// better is known of it. Listed weights may tell of size and not of speed.
+    pub(crate) fn quickness(&self, kind: KindId) -> f64 {
+        let own = self.mean_time(|node| node.kind == kind && node.life == Life::Warm);
+        own.map_or(1.0, |own| (self.usual_time / own).clamp(QUICKNESS.0, QUICKNESS.1))
     }
 
     /// What a warm node of this kind and listed weight does.
--- a/crates/wheelspread/src/measure.rs
+++ b/crates/wheelspread/src/measure.rs
@@ -364,14 +364,16 @@
             let (sum, weights) = known.fold((0.0, 0.0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
             (weights > 0.0).then(|| sum / weights)
         };
-        mean(&|node| node.kind == kind).or_else(|| mean(&|_| true))
+        let other = || Some(mean(&|_| true)? * self.quickness(kind));
+        mean(&|node| node.kind == kind).or_else(other)
     }
 
-    /// The mean time of an invocation (geometric, by what nodes serve).
-    pub(crate) fn mean_time(&self) -> f64 {
-        let known = self.nodes.values().filter_map(|n| Some((n.sojourn.get()?.max(1e-6).ln(), n.peak)));
+    /// The mean time of an invocation at some nodes (geometric, by what they serve).
+    pub(crate) fn mean_time(&self, counts: impl Fn(&Node) -> bool) -> Option<f64> {
+        let own = self.nodes.values().filter(|node| counts(node));
+        let known = own.filter_map(|n| Some((n.sojourn.get()?.max(1e-6).ln(), n.peak.max(1e-3))));
         let (sum, weights) = known.fold((0.0, 0.0), |sum, (time, rate)| (sum.0 + time * rate, sum.1 + rate));
-        (sum / weights.max(1e-9)).exp()
+        (weights > 0.0).then(|| (sum / weights).exp())
     }
 
     /// Whether every joined proxy may still be written to, within a part of what its cap allows.
--- a/crates/wheelspread/src/scenarios.rs
+++ b/crates/wheelspread/src/scenarios.rs
@@ -397,6 +397,7 @@
 #[test_case(include_str!("../scenarios/cold_under_cap.txt"); "cold limits leave steps their messages")]
 #[test_case(include_str!("../scenarios/lost_on_the_way.txt"); "what is lost on the way is no overload")]
 #[test_case(include_str!("../scenarios/cold_two_conductors.txt"); "a cold node beside an unheard conductor")]
+#[test_case(include_str!("../scenarios/first_times.txt"); "kinds begin by the times of their first invocations")]
 #[test_case(include_str!("../scenarios/own_fault.txt"); "a node that errs alone is slow by itself")]
 #[test_case(include_str!("../scenarios/cold_unheard.txt"); "no cold lines in a zone that is not heard of")]
 #[test_case(include_str!("../scenarios/many_zones.txt"); "more parts than table numbers")]
