One way to end a connection; figures of the settings are read once

Found in reading the change again: the removal of a stream stood in three places of the desk, the reset of who does not read only in one of two, bounds were worked out twice at the start, and an order's operations were spelt out in two copies. Behaviour stays, but that the largest of too many buffers is now reset like any other that is not read.

--- a/crates/orders/src/book.rs
+++ b/crates/orders/src/book.rs
@@ -111,6 +111,14 @@
         self.withdrawn.contains(&node) || self.tables.values().any(|table| table.lines.contains_key(&node))
     }
 
+    /// The operations that an order names; none named is all of them.
+    fn named(&self, operations: &[OperationId]) -> Vec<OperationId> {
+        match operations {
+            [] => (0..self.operations.len()).map(|at| OperationId(at as u8)).collect(),
+            named => named.to_vec(),
+        }
+    }
+
     /// Takes an order down; what is no order to proxies is not kept here.
     pub fn order(&mut self, action: &Action) -> Kept {
         match action {
@@ -128,8 +136,7 @@
                 self.news.cleared.insert(*table);
             }
             Action::Bind { proxy, table, operations } => {
-                let all = || (0..self.operations.len()).map(|at| OperationId(at as u8)).collect();
-                let named = if operations.is_empty() { all() } else { operations.clone() };
+                let named = self.named(operations);
                 if let Some(told) = self.streams.get_mut(proxy) {
                     told.bound.extend(named.into_iter().map(|operation| (operation, *table)));
                     self.news.bound.entry(*proxy).or_default().insert(*table);
@@ -137,8 +144,7 @@
             }
             Action::SetLevel { table, operations, quota, retry } => {
                 let level = Level { quota: *quota, retry: *retry };
-                let all = || (0..self.operations.len()).map(|at| OperationId(at as u8)).collect();
-                let named: Vec<OperationId> = if operations.is_empty() { all() } else { operations.clone() };
+                let named = self.named(operations);
                 let levels = match table {
                     Some(table) => &mut self.tables.entry(*table).or_default().levels,
                     None => &mut self.everywhere,
--- a/crates/orders/src/desk.rs
+++ b/crates/orders/src/desk.rs
@@ -66,10 +66,7 @@
 pub struct Desk {
     balancer: Balancer,
     names: Names,
-    bounds: Bounds,
-    tick: Span,
-    delay: Span,
-    warm_after: Span,
+    figures: Figures,
     roster: Roster,
     book: Book,
     parties: BTreeMap<LinkId, Party>,
@@ -83,23 +80,38 @@
     out: Vec<Out>,
 }
 
-fn bounds(facts: &Facts) -> Bounds {
-    let timeouts = (0..16).map(|at| facts.number_or(&format!("operation.{at}.integration_timeout"), 0.0));
-    let longest = timeouts.fold(1.0, f64::max);
-    // A mean time carries noise, and a try may outlast its client.
-    let longest_try = Span::from_seconds(longest * 4.0);
-    Bounds { proxies: facts.number_or("proxy.count", 0.0).clamp(0.0, 65535.0) as u16, longest_try }
+/// What the settings say to this part.
+struct Figures {
+    bounds: Bounds,
+    tick: Span,
+    /// The longest delay of a message.
+    delay: Span,
+    warm_after: Span,
+}
+
+impl Figures {
+    fn read(facts: &Facts) -> Figures {
+        let span = |name| Span::from_seconds(facts.number_or(name, 0.0));
+        let timeouts = (0..16).map(|at| facts.number_or(&format!("operation.{at}.integration_timeout"), 0.0));
+        // A mean time carries noise, and a try may outlast its client.
+        let longest_try = Span::from_seconds(timeouts.fold(1.0, f64::max) * 4.0);
+        let proxies = facts.number_or("proxy.count", 0.0).clamp(0.0, 65535.0) as u16;
+        Figures {
+            bounds: Bounds { proxies, longest_try },
+            tick: span("conductor.tick"),
+            delay: span("channel.delay_at_most"),
+            warm_after: span("rules.warm_after"),
+        }
+    }
 }
 
 impl Desk {
     pub fn start(now: Moment, seed: u64, facts: Facts, names: Names) -> Result<Desk, String> {
         let second = Span::from_seconds(1.0);
-        let mut desk = Desk {
-            balancer: Balancer::start(now, seed, facts.clone())?,
-            bounds: bounds(&facts),
-            tick: Span::ZERO,
-            delay: Span::ZERO,
-            warm_after: Span::ZERO,
+        let figures = Figures::read(&facts);
+        Ok(Desk {
+            balancer: Balancer::start(now, seed, facts)?,
+            figures,
             roster: Roster::default(),
             book: Book::new(&names.operations),
             names,
@@ -111,16 +123,7 @@
             settled: None,
             next_look: now,
             out: Vec::new(),
-        };
-        desk.measures(&facts);
-        Ok(desk)
-    }
-
-    fn measures(&mut self, facts: &Facts) {
-        let span = |name| Span::from_seconds(facts.number_or(name, 0.0));
-        self.bounds = bounds(facts);
-        (self.tick, self.delay, self.warm_after) =
-            (span("conductor.tick"), span("channel.delay_at_most"), span("rules.warm_after"));
+        })
     }
 
     /// Other settings, from now on. Zones, kinds and operations stay what they are.
@@ -128,8 +131,9 @@
         if *names != self.names {
             return Err("zones, kinds, operations and reports stay what they are while this runs".to_string());
         }
-        self.balancer.refigure(facts.clone())?;
-        self.measures(&facts);
+        let figures = Figures::read(&facts);
+        self.balancer.refigure(facts)?;
+        self.figures = figures;
         self.pending = true;
         Ok(())
     }
@@ -173,7 +177,7 @@
     /// A message of a connection.
     pub fn message(&mut self, now: Moment, link: LinkId, strings: &[&[u8]]) -> Reply {
         let party = self.parties.get(&link).copied().unwrap_or(Party::Stranger);
-        let read = message::read(strings, &self.names, &self.bounds);
+        let read = message::read(strings, &self.names, &self.figures.bounds);
         let why = read.as_ref().err().map(ToString::to_string).unwrap_or_default();
         let message = read.ok();
         if let Some(stream) = self.stream_of(party) {
@@ -186,11 +190,9 @@
                 Reply::Known
             }
             (Effect::Join, Some(Message::Joined { proxy, zone, usual_rate, standing })) => {
-                if let Some(old) = self.streams.remove(&proxy) {
+                if let Some(old) = self.streams.get(&proxy).map(|stream| stream.link) {
                     // A new stream may come before the end of the old one is seen.
-                    self.out.push(Out::Close { link: old.link, why: "its proxy has a newer stream" });
-                    self.parties.remove(&old.link);
-                    self.left(now, proxy);
+                    self.end(now, old, "its proxy has a newer stream");
                 }
                 self.parties.insert(link, Party::Proxy(proxy));
                 self.streams.insert(proxy, Stream { link, heard: now });
@@ -242,9 +244,10 @@
         }
     }
 
-    fn left(&mut self, now: Moment, proxy: ProxyId) {
-        self.book.leave(proxy);
-        self.hear(now, &Event::ProxyLeft { proxy });
+    /// Ends a connection from this side.
+    fn end(&mut self, now: Moment, link: LinkId, why: &'static str) {
+        self.out.push(Out::Close { link, why });
+        self.closed(now, link);
     }
 
     /// A connection has ended.
@@ -252,7 +255,8 @@
         if let Some(Party::Proxy(proxy)) = self.parties.remove(&link) {
             if self.streams.get(&proxy).is_some_and(|stream| stream.link == link) {
                 self.streams.remove(&proxy);
-                self.left(now, proxy);
+                self.book.leave(proxy);
+                self.hear(now, &Event::ProxyLeft { proxy });
             }
         }
     }
@@ -267,7 +271,7 @@
             self.timers.pop_first();
             self.hear(now, &Event::Timer { timer });
         }
-        if self.pending && self.settled.is_none_or(|last| now >= last + self.tick) {
+        if self.pending && self.settled.is_none_or(|last| now >= last + self.figures.tick) {
             (self.pending, self.settled) = (false, Some(now));
             let mut actions = Vec::new();
             self.balancer.settle(now, &mut actions);
@@ -304,7 +308,7 @@
     pub fn wake_at(&self) -> Moment {
         let timer = self.timers.first().map_or(self.next_look, |first| first.0).min(self.next_look);
         match (self.pending, self.settled) {
-            (true, Some(last)) => timer.min(last + self.tick),
+            (true, Some(last)) => timer.min(last + self.figures.tick),
             (true, None) => Moment::default(),
             _ => timer,
         }
@@ -314,18 +318,15 @@
     /// end, and what waits for its answers would hold up the orders to all others.
     fn look(&mut self, now: Moment) {
         let slowest = self.answers.whole(now).0;
-        let limit = Span::from_seconds(SILENT.0 + SILENT.2 * slowest) + self.delay * SILENT.1;
+        let limit = Span::from_seconds(SILENT.0 + SILENT.2 * slowest) + self.figures.delay * SILENT.1;
         let silent = |(proxy, stream): (&ProxyId, &Stream)| {
             let sent = self.book.unanswered(*proxy)?;
-            (now - sent > limit && now - stream.heard > limit).then_some((*proxy, stream.link))
+            (now - sent > limit && now - stream.heard > limit).then_some(stream.link)
         };
-        for (proxy, link) in self.streams.iter().filter_map(silent).collect::<Vec<_>>() {
-            self.streams.remove(&proxy);
-            self.parties.remove(&link);
-            self.out.push(Out::Close { link, why: "it has fallen silent" });
-            self.left(now, proxy);
+        for link in self.streams.iter().filter_map(silent).collect::<Vec<_>>() {
+            self.end(now, link, "it has fallen silent");
         }
         let (book, roster) = (&self.book, &mut self.roster);
-        roster.forget(now, self.warm_after * NAMES_KEPT, |node| book.names(node));
+        roster.forget(now, self.figures.warm_after * NAMES_KEPT, |node| book.names(node));
     }
 }
--- a/crates/platform/src/service.rs
+++ b/crates/platform/src/service.rs
@@ -218,20 +218,19 @@
     /// Ends the stranger that has been silent longest, where descriptors run out.
     fn evict(&mut self) -> bool {
         let oldest = self.links.iter().find(|(_, link)| !link.known).map(|(token, _)| *token);
-        oldest.map(|token| self.drop_link(token, "descriptors are short")).is_some()
+        oldest.and_then(|token| self.drop_link(token, "descriptors are short")).is_some()
     }
 
-    fn drop_link(&mut self, token: u64, why: &str) {
-        if let Some(link) = self.links.remove(&token) {
-            if link.known {
-                self.counts.lost += 1;
-                debug!(token, why, "stream ended");
-            } else {
-                self.counts.strangers += 1;
-                debug!(token, why, "stranger ended");
-            }
-        }
+    fn drop_link(&mut self, token: u64, why: &str) -> Option<Link> {
         self.again.remove(&token);
+        let link = self.links.remove(&token)?;
+        let (count, who) = match link.known {
+            true => (&mut self.counts.lost, "stream"),
+            false => (&mut self.counts.strangers, "stranger"),
+        };
+        *count += 1;
+        debug!(token, why, who, "ended");
+        Some(link)
     }
 
     fn ready(&mut self, now: Moment, ready: &Readiness) {
@@ -279,7 +278,9 @@
 
     fn over(&mut self, now: Moment, token: u64, over: &Over) {
         self.desk.closed(now, LinkId(token));
-        self.drop_link(token, &over.to_string());
+        if let (Over::Unread, Some(link)) = (over, self.drop_link(token, &over.to_string())) {
+            reactor::reset(link.stream);
+        }
     }
 
     // ---- discovery and probes ----
@@ -456,19 +457,11 @@
     fn carry_out(&mut self, now: Moment, out: Out) {
         match out {
             Out::Write { link, bytes } => {
-                let wrote = self.links.get_mut(&link.0).map(|link| link.write(&bytes));
-                match wrote {
-                    Some(Err(Over::Unread)) => {
-                        if let Some(link) = self.links.remove(&link.0) {
-                            reactor::reset(link.stream);
-                        }
-                        self.desk.closed(now, link);
-                    }
-                    Some(Err(over)) => self.over(now, link.0, &over),
-                    _ => {}
+                if let Some(Err(over)) = self.links.get_mut(&link.0).map(|link| link.write(&bytes)) {
+                    self.over(now, link.0, &over);
                 }
             }
-            Out::Close { link, why } => self.drop_link(link.0, why),
+            Out::Close { link, why } => drop(self.drop_link(link.0, why)),
             Out::ReadList => {
                 if !self.call(now, self.file.discovery, "/catalog/members", Purpose::Read) {
                     self.desk.no_list(now);
