Drills listen on an address of their own: a taken port kept a conductor from starting

Their conductors' logs say "Address already in use": the port was asked for, let go of, and taken by another drill or a dialled connection before the conductor started. The module and the platform's front were ruled out by these logs. free_port's place in the drill is at fault; it stays for measurements, whose address is named in certificates or played alone.

--- a/crates/drill/src/run.rs
+++ b/crates/drill/src/run.rs
@@ -18,6 +18,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::Receiver;
+use std::sync::Mutex;
 use std::time::Duration;
 use wheelspread::ids::NodeId;
 use wheelspread::pcg::Pcg;
@@ -195,6 +196,21 @@
     }
 }
 
+/// A place to listen for a conductor that starts later. Each process has a loopback address of its own and
+/// names no port twice: on the common address a drill beside this one, or any connection that was dialled
+/// meanwhile, took the port now and then, and the conductor could not start.
+fn own_port() -> io::Result<SocketAddrV4> {
+    static NAMED: Mutex<BTreeSet<u16>> = Mutex::new(BTreeSet::new());
+    let [_, high, middle, low] = std::process::id().to_be_bytes();
+    let address = Ipv4Addr::new(127, 64 | (high & 63), middle, low.clamp(1, 254));
+    loop {
+        let port = TcpListener::bind((address, 0))?.local_addr()?.port();
+        if NAMED.lock().unwrap_or_else(std::sync::PoisonError::into_inner).insert(port) {
+            return Ok(SocketAddrV4::new(address, port));
+        }
+    }
+}
+
 pub fn run(script: &Script, options: Options) -> Result<Report, DrillError> {
     let temporary = tempfile::tempdir().map_err(named("a temporary directory"))?;
     let directory = options.keep.clone().unwrap_or_else(|| temporary.path().to_path_buf());
@@ -218,7 +234,7 @@
         for number in 0..plan_of.conductors.count as usize {
             let directory = directory.join(format!("conductor-{number}"));
             Root::new(directory.join("tables")).prepare().map_err(named(directory.display().to_string()))?;
-            sides.push(Side { directory, listen: free_port().map_err(named("a free port"))?, child: None });
+            sides.push(Side { directory, listen: own_port().map_err(named("a free port"))?, child: None });
         }
         let wires = Wires::start(sides.iter().map(|side| side.listen).collect()).map_err(named("wires"))?;
         let gateways = Gateways::start(recorder.clone(), options.even).map_err(named("gateways"))?;
