--- a/crates/cli/tests/platform.rs
+++ b/crates/cli/tests/platform.rs
@@ -20,7 +20,7 @@
         "status": status, "weight": 1.0, "since_ms": 0})
 }
 
-/// Objects of the watch so far; the first is the whole list.
+/// Objects of the watch so far; the first is the full list.
 type Objects = Arc<Mutex<Vec<Value>>>;
 
 /// An agent of discovery. It says what it has been sent, and ends its connections when it is moved away.
--- a/crates/orders/src/desk.rs
+++ b/crates/orders/src/desk.rs
@@ -1,11 +1,11 @@
 //! Drives the module: messages and lists become events, what it orders becomes messages. It is settled
 //! once for all that was heard, not more often than each tick.
 
-use crate::book::{Book, Kept};
-use crate::door::{effect, Effect, Party};
+use crate::handshake::{effect, Effect, Party};
+use crate::membership::{List, Membership};
 use crate::message::{self, Bounds, Message};
-use crate::roster::{List, Roster};
-use crate::LinkId;
+use crate::table_store::{Kept, TableStore};
+use crate::ConnectionId;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
 use std::rc::Rc;
@@ -30,14 +30,14 @@
 /// What is to be done outside.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Out {
-    Write { link: LinkId, bytes: Rc<[u8]> },
-    Close { link: LinkId, why: &'static str },
+    Write { connection: ConnectionId, bytes: Rc<[u8]> },
+    Close { connection: ConnectionId, why: &'static str },
     ReadList,
     Probe { node: NodeId, address: SocketAddrV4 },
     Remark(String),
 }
 
-/// A stream is taken for silent when a mark is unanswered, and nothing else came, for so long: seconds, and
+/// A stream is taken for silent when a mark is unacked, and nothing else came, for so long: seconds, and
 /// times the longest delay of a message and the slowest answer of late. A stream that is only slow must
 /// not be ended: its proxy would go on by what it holds, and the time limits with it.
 const SILENT: (f64, f64, f64) = (1.5, 3.0, 2.0);
@@ -49,7 +49,7 @@
 const NAMES_KEPT: f64 = 10.0;
 
 struct Stream {
-    link: LinkId,
+    connection: ConnectionId,
     heard: Moment,
 }
 
@@ -67,9 +67,9 @@
     balancer: Balancer,
     names: Names,
     figures: Figures,
-    roster: Roster,
-    book: Book,
-    parties: BTreeMap<LinkId, Party>,
+    membership: Membership,
+    tables: TableStore,
+    parties: BTreeMap<ConnectionId, Party>,
     streams: BTreeMap<ProxyId, Stream>,
     timers: BTreeSet<(Moment, TimerId)>,
     answers: Ring<Slowest>,
@@ -112,8 +112,8 @@
         Ok(Desk {
             balancer: Balancer::start(now, seed, facts)?,
             figures,
-            roster: Roster::default(),
-            book: Book::new(&names.operations),
+            membership: Membership::default(),
+            tables: TableStore::new(&names.operations),
             names,
             parties: BTreeMap::new(),
             streams: BTreeMap::new(),
@@ -148,12 +148,12 @@
 
     /// The version of the list that stands.
     pub fn version(&self) -> Option<u64> {
-        self.roster.version()
+        self.membership.version()
     }
 
     /// Takes a list; `cached`: as it stood before the start. Whether it was news.
     pub fn list(&mut self, now: Moment, list: &List, cached: bool) -> bool {
-        let Some(event) = self.roster.take(list, cached, now) else { return false };
+        let Some(event) = self.membership.take(list, cached, now) else { return false };
         self.hear(now, &event);
         true
     }
@@ -175,8 +175,8 @@
     }
 
     /// A message of a connection.
-    pub fn message(&mut self, now: Moment, link: LinkId, strings: &[&[u8]]) -> Reply {
-        let party = self.parties.get(&link).copied().unwrap_or(Party::Stranger);
+    pub fn message(&mut self, now: Moment, connection: ConnectionId, strings: &[&[u8]]) -> Reply {
+        let party = self.parties.get(&connection).copied().unwrap_or(Party::Stranger);
         let read = message::read(strings, &self.names, &self.figures.bounds);
         let why = read.as_ref().err().map(ToString::to_string).unwrap_or_default();
         let message = read.ok();
@@ -186,17 +186,17 @@
         match (effect(party, message.as_ref()), message) {
             (Effect::Pong, _) => Reply::Pong,
             (Effect::Collect, Some(Message::Collector { zone })) => {
-                self.parties.insert(link, Party::Collector(zone));
+                self.parties.insert(connection, Party::Collector(zone));
                 Reply::Known
             }
             (Effect::Join, Some(Message::Joined { proxy, zone, usual_rate, standing })) => {
-                if let Some(old) = self.streams.get(&proxy).map(|stream| stream.link) {
+                if let Some(old) = self.streams.get(&proxy).map(|stream| stream.connection) {
                     // A new stream may come before the end of the old one is seen.
                     self.end(now, old, "its proxy has a newer stream");
                 }
-                self.parties.insert(link, Party::Proxy(proxy));
-                self.streams.insert(proxy, Stream { link, heard: now });
-                self.book.join(proxy);
+                self.parties.insert(connection, Party::Proxy(proxy));
+                self.streams.insert(proxy, Stream { connection, heard: now });
+                self.tables.join(proxy);
                 self.hear(now, &Event::ProxyJoined { proxy, zone, usual_rate, fresh: standing });
                 Reply::Known
             }
@@ -221,7 +221,10 @@
 
     fn figures(&mut self, now: Moment, message: Message) {
         match message {
-            Message::Met { zone, node, tries, errored, latency, over, load } => match self.roster.id(&node) {
+            Message::Met { zone, node, tries, errored, latency, over, load } => match self
+                .membership
+                .id(&node)
+            {
                 Some(node) => {
                     self.hear(now, &Event::NodeSums { zone, node, tries, errored, latency, over, load });
                 }
@@ -232,7 +235,7 @@
             }
             Message::Applied { proxy, mark, took } => {
                 self.answers.add(now, Slowest(took.seconds()));
-                let marks = self.book.answered(proxy, mark);
+                let marks = self.tables.acked(proxy, mark);
                 if marks.is_empty() {
                     self.out.push(Out::Remark(format!("{proxy:?} answers a mark it was not sent")));
                 }
@@ -245,17 +248,17 @@
     }
 
     /// Ends a connection from this side.
-    fn end(&mut self, now: Moment, link: LinkId, why: &'static str) {
-        self.out.push(Out::Close { link, why });
-        self.closed(now, link);
+    fn end(&mut self, now: Moment, connection: ConnectionId, why: &'static str) {
+        self.out.push(Out::Close { connection, why });
+        self.closed(now, connection);
     }
 
     /// A connection has ended.
-    pub fn closed(&mut self, now: Moment, link: LinkId) {
-        if let Some(Party::Proxy(proxy)) = self.parties.remove(&link) {
-            if self.streams.get(&proxy).is_some_and(|stream| stream.link == link) {
+    pub fn closed(&mut self, now: Moment, connection: ConnectionId) {
+        if let Some(Party::Proxy(proxy)) = self.parties.remove(&connection) {
+            if self.streams.get(&proxy).is_some_and(|stream| stream.connection == connection) {
                 self.streams.remove(&proxy);
-                self.book.leave(proxy);
+                self.tables.leave(proxy);
                 self.hear(now, &Event::ProxyLeft { proxy });
             }
         }
@@ -276,9 +279,9 @@
             let mut actions = Vec::new();
             self.balancer.settle(now, &mut actions);
             actions.iter().for_each(|action| self.act(now, action));
-            for (proxy, bytes) in self.book.messages(now, &self.roster) {
-                if let Some(Stream { link, .. }) = self.streams.get(&proxy) {
-                    self.out.push(Out::Write { link: *link, bytes });
+            for (proxy, bytes) in self.tables.messages(now, &self.membership) {
+                if let Some(Stream { connection, .. }) = self.streams.get(&proxy) {
+                    self.out.push(Out::Write { connection: *connection, bytes });
                 }
             }
         }
@@ -286,14 +289,14 @@
     }
 
     fn act(&mut self, now: Moment, action: &Action) {
-        if self.book.order(action) == Kept::Kept {
+        if self.tables.order(action) == Kept::Kept {
             return;
         }
         match action {
             Action::SetTimer { after, timer } => _ = self.timers.insert((now + *after, *timer)),
             Action::ReadList => self.out.push(Out::ReadList),
             Action::Probe { node } => {
-                if let Some(address) = self.roster.address(*node) {
+                if let Some(address) = self.membership.address(*node) {
                     self.out.push(Out::Probe { node: *node, address });
                 }
             }
@@ -320,13 +323,13 @@
         let slowest = self.answers.whole(now).0;
         let limit = Span::from_seconds(SILENT.0 + SILENT.2 * slowest) + self.figures.delay * SILENT.1;
         let silent = |(proxy, stream): (&ProxyId, &Stream)| {
-            let sent = self.book.unanswered(*proxy)?;
-            (now - sent > limit && now - stream.heard > limit).then_some(stream.link)
+            let sent = self.tables.unacked(*proxy)?;
+            (now - sent > limit && now - stream.heard > limit).then_some(stream.connection)
         };
-        for link in self.streams.iter().filter_map(silent).collect::<Vec<_>>() {
-            self.end(now, link, "it has fallen silent");
+        for connection in self.streams.iter().filter_map(silent).collect::<Vec<_>>() {
+            self.end(now, connection, "it has fallen silent");
         }
-        let (book, roster) = (&self.book, &mut self.roster);
-        roster.forget(now, self.figures.warm_after * NAMES_KEPT, |node| book.names(node));
+        let (tables, membership) = (&self.tables, &mut self.membership);
+        membership.forget(now, self.figures.warm_after * NAMES_KEPT, |node| tables.names(node));
     }
 }
--- a/crates/orders/src/door.rs
+++ b/crates/orders/src/handshake.rs
@@ -44,7 +44,7 @@
 }
 
 /// What is not named here is left out.
-const DOOR: &[(Stands, Says, Effect)] = &[
+const HANDSHAKE: &[(Stands, Says, Effect)] = &[
     (Stands::Stranger, Says::Ping, Effect::Pong),
     (Stands::Stranger, Says::Collects, Effect::Collect),
     (Stands::Stranger, Says::Joins, Effect::Join),
@@ -83,6 +83,6 @@
         Some(Message::Applied { proxy, .. }) => of(proxy, Says::Answers),
         Some(Message::Offered { proxy, .. }) => of(proxy, Says::Offered),
     };
-    let row = DOOR.iter().find(|row| (row.0, row.1) == (stands, says));
+    let row = HANDSHAKE.iter().find(|row| (row.0, row.1) == (stands, says));
     row.map_or(Effect::Skip, |row| row.2)
 }
--- a/crates/orders/src/roster.rs
+++ b/crates/orders/src/membership.rs
@@ -10,9 +10,9 @@
 use wheelspread_vocabulary::Names;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// One node as discovery mentions it.
+/// One node as discovery entries it.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Mention {
+pub struct Entry {
     pub name: String,
     pub address: SocketAddrV4,
     pub zone: ZoneId,
@@ -27,8 +27,8 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct List {
     pub version: u64,
-    pub whole: bool,
-    pub mentions: Vec<Mention>,
+    pub full: bool,
+    pub entries: Vec<Entry>,
     /// Entries that can't be right, and why.
     pub refused: Vec<String>,
 }
@@ -36,20 +36,20 @@
 impl List {
     pub fn read(value: &Value, names: &Names) -> Result<List, String> {
         let version = value["index"].as_u64().ok_or("a list without its `index`")?;
-        let whole = value["snapshot"].as_bool().ok_or("a list without its `snapshot`")?;
-        let entries = value["endpoints"].as_array().ok_or("a list without its `endpoints`")?;
-        let (mut mentions, mut refused) = (Vec::new(), Vec::new());
-        for entry in entries {
-            match mention(entry, names) {
-                Ok(mention) => mentions.push(mention),
+        let full = value["snapshot"].as_bool().ok_or("a list without its `snapshot`")?;
+        let told = value["endpoints"].as_array().ok_or("a list without its `endpoints`")?;
+        let (mut entries, mut refused) = (Vec::new(), Vec::new());
+        for one in told {
+            match read_entry(one, names) {
+                Ok(entry) => entries.push(entry),
                 Err(text) => refused.push(text),
             }
         }
-        Ok(List { version, whole, mentions, refused })
+        Ok(List { version, full, entries, refused })
     }
 }
 
-fn mention(entry: &Value, names: &Names) -> Result<Mention, String> {
+fn read_entry(entry: &Value, names: &Names) -> Result<Entry, String> {
     let name = entry["name"].as_str().filter(|name| !name.is_empty()).ok_or("a node without a name")?;
     let text = |field: &str| entry[field].as_str().ok_or_else(|| format!("{name} has no `{field}`"));
     let place = |field: &str, known: &[String]| {
@@ -65,7 +65,7 @@
     };
     let address = text("address")?;
     let started = entry["since_ms"].as_f64().filter(|millis| *millis > 0.0);
-    Ok(Mention {
+    Ok(Entry {
         name: name.to_string(),
         address: address.parse().map_err(|_| format!("{name} has no address in {address}"))?,
         zone: ZoneId(place("zone", &names.zones)? as u16),
@@ -86,14 +86,14 @@
 }
 
 #[derive(Clone, Debug, Default)]
-pub struct Roster {
+pub struct Membership {
     ids: BTreeMap<String, NodeId>,
     nodes: BTreeMap<NodeId, Known>,
-    /// Of what was taken last; nothing was before the first whole list.
+    /// Of what was taken last; nothing was before the first full list.
     version: Option<u64>,
 }
 
-impl Roster {
+impl Membership {
     pub fn version(&self) -> Option<u64> {
         self.version
     }
@@ -111,18 +111,18 @@
     }
 
     /// The id of a name; two names that fall on one id get neighbouring ones.
-    fn enter(&mut self, mention: &Mention, now: Moment) -> NodeId {
-        let id = self.ids.get(&mention.name).copied().unwrap_or_else(|| {
-            let [a, b, c, d, e, f, ..] = xxh3_64(mention.name.as_bytes()).to_le_bytes();
+    fn enter(&mut self, entry: &Entry, now: Moment) -> NodeId {
+        let id = self.ids.get(&entry.name).copied().unwrap_or_else(|| {
+            let [a, b, c, d, e, f, ..] = xxh3_64(entry.name.as_bytes()).to_le_bytes();
             let mut id = NodeId { address: [a, b, c, d], port: u16::from_le_bytes([e, f]) };
             while self.nodes.contains_key(&id) {
                 id.port = id.port.wrapping_add(1);
             }
             id
         });
-        let listed = mention.listing != Listing::Gone;
-        let known = Known { name: mention.name.clone(), address: mention.address, listed, since: now };
-        self.ids.insert(mention.name.clone(), id);
+        let listed = entry.listing != Listing::Gone;
+        let known = Known { name: entry.name.clone(), address: entry.address, listed, since: now };
+        self.ids.insert(entry.name.clone(), id);
         self.nodes.insert(id, known);
         id
     }
@@ -130,33 +130,33 @@
     /// What the list tells the module; nothing, where it is older than what was taken.
     pub fn take(&mut self, list: &List, cached: bool, now: Moment) -> Option<Event> {
         let stale = self.version.is_some_and(|version| {
-            // A whole list of the same version may repair what a lost change left out.
-            if list.whole {
+            // A full list of the same version may repair what a lost change left out.
+            if list.full {
                 list.version < version
             } else {
                 list.version <= version
             }
         });
-        if stale || (!list.whole && self.version.is_none()) {
+        if stale || (!list.full && self.version.is_none()) {
             return None;
         }
         self.version = Some(list.version);
-        if list.whole {
+        if list.full {
             for known in self.nodes.values_mut().filter(|known| known.listed) {
                 (known.listed, known.since) = (false, now);
             }
         }
-        let entry = |mention: &Mention| ListEntry {
-            node: self.enter(mention, now),
-            zone: mention.zone,
-            kind: mention.kind,
-            cell: mention.cell,
-            listing: mention.listing,
-            weight: mention.weight,
-            started: mention.started,
+        let entry = |entry: &Entry| ListEntry {
+            node: self.enter(entry, now),
+            zone: entry.zone,
+            kind: entry.kind,
+            cell: entry.cell,
+            listing: entry.listing,
+            weight: entry.weight,
+            started: entry.started,
         };
-        let entries = list.mentions.iter().map(entry).collect();
-        let kind = match (cached, list.whole) {
+        let entries = list.entries.iter().map(entry).collect();
+        let kind = match (cached, list.full) {
             (true, _) => ListKind::Cached,
             (_, true) => ListKind::Complete,
             _ => ListKind::Changes,
--- a/crates/orders/src/book.rs
+++ b/crates/orders/src/table_store.rs
@@ -1,7 +1,7 @@
 //! The module's tables, and what each stream was told of them. What is ordered at one moment becomes one
 //! message for each proxy that it concerns: whole tables where it was bound, changes otherwise.
 
-use crate::roster::Roster;
+use crate::membership::Membership;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::fmt::Write;
 use std::rc::Rc;
@@ -60,7 +60,7 @@
 }
 
 #[derive(Clone, Debug, Default)]
-pub struct Book {
+pub struct TableStore {
     operations: Vec<String>,
     tables: BTreeMap<TableId, Table>,
     everywhere: BTreeMap<OperationId, Level>,
@@ -81,9 +81,9 @@
     NotMine,
 }
 
-impl Book {
-    pub fn new(operations: &[String]) -> Book {
-        Book { operations: operations.to_vec(), ..Book::default() }
+impl TableStore {
+    pub fn new(operations: &[String]) -> TableStore {
+        TableStore { operations: operations.to_vec(), ..TableStore::default() }
     }
 
     pub fn join(&mut self, proxy: ProxyId) {
@@ -96,14 +96,14 @@
     }
 
     /// All marks that an answer covers, the named one last; none where it was never sent.
-    pub fn answered(&mut self, proxy: ProxyId, mark: MarkId) -> Vec<MarkId> {
+    pub fn acked(&mut self, proxy: ProxyId, mark: MarkId) -> Vec<MarkId> {
         let Some(told) = self.streams.get_mut(&proxy) else { return Vec::new() };
         let Some(place) = told.marks.iter().position(|sent| sent.0 == mark) else { return Vec::new() };
         told.marks.drain(..=place).map(|sent| sent.0).collect()
     }
 
     /// When the oldest mark went out that a proxy has not answered.
-    pub fn unanswered(&self, proxy: ProxyId) -> Option<Moment> {
+    pub fn unacked(&self, proxy: ProxyId) -> Option<Moment> {
         self.streams.get(&proxy)?.marks.front().map(|sent| sent.1)
     }
 
@@ -167,7 +167,7 @@
     }
 
     /// The messages that what was ordered makes, as bytes to write.
-    pub fn messages(&mut self, now: Moment, roster: &Roster) -> Vec<(ProxyId, Rc<[u8]>)> {
+    pub fn messages(&mut self, now: Moment, membership: &Membership) -> Vec<(ProxyId, Rc<[u8]>)> {
         let news = std::mem::take(&mut self.news);
         let mut made: BTreeMap<Key, Option<Rc<[u8]>>> = BTreeMap::new();
         let mut messages = Vec::new();
@@ -181,7 +181,7 @@
             let message = match made.get(&key) {
                 Some(message) => message.clone(),
                 None => {
-                    let message = self.message(&news, &key, roster);
+                    let message = self.message(&news, &key, membership);
                     made.insert(key, message.clone());
                     message
                 }
@@ -212,14 +212,14 @@
         )
     }
 
-    fn message(&self, news: &News, key: &Key, roster: &Roster) -> Option<Rc<[u8]>> {
+    fn message(&self, news: &News, key: &Key, membership: &Membership) -> Option<Rc<[u8]>> {
         let (bound, fresh, drop, undrop) = key;
         let mut parts: Vec<Vec<(&str, String)>> = Vec::new();
         for table in bound.values().collect::<BTreeSet<_>>() {
             let own: Vec<OperationId> =
                 bound.iter().filter(|(_, bound)| *bound == table).map(|(operation, _)| *operation).collect();
             let whole = fresh.contains(table) || news.cleared.contains(table);
-            self.table_parts(news, *table, &own, whole, roster, &mut parts);
+            self.table_parts(news, *table, &own, whole, membership, &mut parts);
         }
         // Levels for all reach operations without a table of ours too.
         let plain = |operation: &OperationId| !bound.contains_key(operation);
@@ -231,7 +231,7 @@
         );
         let mut last = Vec::new();
         for (word, nodes) in [("drop", drop), ("undrop", undrop)] {
-            let names: Vec<&str> = nodes.iter().filter_map(|node| roster.name(*node)).collect();
+            let names: Vec<&str> = nodes.iter().filter_map(|node| membership.name(*node)).collect();
             if !names.is_empty() {
                 last.push((word, names.join(",")));
             }
@@ -265,7 +265,7 @@
         id: TableId,
         own: &[OperationId],
         whole: bool,
-        roster: &Roster,
+        membership: &Membership,
         parts: &mut Vec<Vec<(&'static str, String)>>,
     ) {
         let empty = Table::default();
@@ -290,7 +290,7 @@
             }
             let mut rows = String::new();
             for (node, weight) in lines {
-                let Some(name) = roster.name(node) else { continue };
+                let Some(name) = membership.name(node) else { continue };
                 let comma = if rows.is_empty() { "" } else { "," };
                 let _ = write!(rows, "{comma}{name}:{}", weight as f32);
             }
--- a/crates/orders/src/tests.rs
+++ b/crates/orders/src/tests.rs
@@ -1,7 +1,7 @@
 //! Scripts in `scenarios/`, a line each, `#` begins a comment:
 //!
-//!     TIME list VERSION NAME:ZONE[:STATUS][:AGE] ..    the whole list; `change` for changes of it
-//!     TIME link KEY WORDS ..                            a message on that connection
+//!     TIME list VERSION NAME:ZONE[:STATUS][:AGE] ..    the full list; `change` for changes of it
+//!     TIME connection KEY WORDS ..                            a message on that connection
 //!     TIME answer KEY                                   it answers the newest mark it was sent
 //!     TIME end KEY                                      the connection ends
 //!     TIME settle                                       nothing happens
@@ -14,10 +14,10 @@
 //! After each line with a time the moment is settled. `FROM..TO/EVERY` repeats a line; between two
 //! expectations lines are played in the order of their times.
 
-use crate::book::{Book, Kept};
+use crate::membership::Membership;
 use crate::message::{read, BadMessage, Bounds};
-use crate::roster::Roster;
-use crate::{Desk, LinkId, List, Out, Reply};
+use crate::table_store::{Kept, TableStore};
+use crate::{ConnectionId, Desk, List, Out, Reply};
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
 use test_case::test_case;
@@ -109,40 +109,40 @@
         match words[0] {
             "list" => self.list(true, &words[1..]),
             "change" => self.list(false, &words[1..]),
-            "link" => {
+            "connection" => {
                 let strings: Vec<&[u8]> = words[2..].iter().map(|word| word.as_bytes()).collect();
-                self.reply = self.desk.message(now, LinkId(key(words[1])), &strings);
+                self.reply = self.desk.message(now, ConnectionId(key(words[1])), &strings);
             }
             "answer" => {
-                let link = key(words[1]);
-                let mark = self.marks.get(&link).cloned().expect("a mark");
-                let proxy = (link % 10).to_string();
+                let connection = key(words[1]);
+                let mark = self.marks.get(&connection).cloned().expect("a mark");
+                let proxy = (connection % 10).to_string();
                 let strings = ["applied", "sidecar", &proxy, "version", &mark, "lag_ms", "300.5"];
                 let strings: Vec<&[u8]> = strings.iter().map(|word| word.as_bytes()).collect();
-                self.reply = self.desk.message(now, LinkId(link), &strings);
+                self.reply = self.desk.message(now, ConnectionId(connection), &strings);
             }
-            "end" => self.desk.closed(now, LinkId(key(words[1]))),
+            "end" => self.desk.closed(now, ConnectionId(key(words[1]))),
             "settle" => {}
             other => panic!("no such line: {other}"),
         }
         for out in self.desk.settle(now) {
             match out {
-                Out::Write { link, bytes } => {
+                Out::Write { connection, bytes } => {
                     for text in texts(&bytes) {
                         if let Some((_, mark)) = text.split_once("stamp ") {
-                            self.marks.insert(link.0, mark.split(' ').next().unwrap_or("").to_string());
+                            self.marks.insert(connection.0, mark.split(' ').next().unwrap_or("").to_string());
                         }
-                        self.told.entry(link.0).or_default().push(text);
+                        self.told.entry(connection.0).or_default().push(text);
                     }
                 }
-                Out::Close { link, .. } => self.closed.push(link.0),
+                Out::Close { connection, .. } => self.closed.push(connection.0),
                 _ => {}
             }
         }
     }
 
     fn expect(&mut self, line: &str, words: &[&str]) {
-        let mut told = |link: &str| self.told.remove(&key(link)).unwrap_or_default();
+        let mut told = |connection: &str| self.told.remove(&key(connection)).unwrap_or_default();
         match words[0] {
             "reply" => {
                 let reply = match &self.reply {
@@ -172,7 +172,7 @@
 }
 
 #[test_case(include_str!("../scenarios/join.txt"); "joins and changes")]
-#[test_case(include_str!("../scenarios/door.txt"); "who may say what")]
+#[test_case(include_str!("../scenarios/handshake.txt"); "who may say what")]
 #[test_case(include_str!("../scenarios/spoilt.txt"); "spoilt reports and answers")]
 #[test_case(include_str!("../scenarios/streams.txt"); "streams that break and come back")]
 #[test_case(include_str!("../scenarios/silent.txt"); "streams that fall silent")]
@@ -234,9 +234,9 @@
     assert!(refused.to_string().contains(why), "{refused}");
 }
 
-/// A book with two listed nodes, and what a stream is told of some orders.
-fn book() -> (Book, Roster, [NodeId; 2]) {
-    let mut roster = Roster::default();
+/// A table store with two listed nodes, and what a stream is told of some orders.
+fn table_store() -> (TableStore, Membership, [NodeId; 2]) {
+    let mut membership = Membership::default();
     let entries: Vec<Value> = ["x", "y"]
         .iter()
         .map(|name| {
@@ -245,16 +245,16 @@
         })
         .collect();
     let list = List::read(&json!({"index": 1, "snapshot": true, "endpoints": entries}), &names());
-    roster.take(&list.expect("a list"), true, Moment::default());
-    let ids = ["x", "y"].map(|name| roster.id(name).expect("listed"));
-    let mut book = Book::new(&names().operations);
-    book.join(ProxyId(0));
-    (book, roster, ids)
+    membership.take(&list.expect("a list"), true, Moment::default());
+    let ids = ["x", "y"].map(|name| membership.id(name).expect("listed"));
+    let mut tables = TableStore::new(&names().operations);
+    tables.join(ProxyId(0));
+    (tables, membership, ids)
 }
 
-fn told(book: &mut Book, roster: &Roster, actions: &[Action]) -> Vec<String> {
-    assert!(actions.iter().all(|action| book.order(action) == Kept::Kept));
-    let messages = book.messages(Moment::default(), roster);
+fn told(tables: &mut TableStore, membership: &Membership, actions: &[Action]) -> Vec<String> {
+    assert!(actions.iter().all(|action| tables.order(action) == Kept::Kept));
+    let messages = tables.messages(Moment::default(), membership);
     messages.iter().flat_map(|(_, bytes)| texts(bytes)).collect()
 }
 
@@ -274,49 +274,49 @@
 
 #[test]
 fn a_table_is_told_whole_once_and_then_by_its_changes() {
-    let (mut book, roster, [x, y]) = book();
+    let (mut tables, membership, [x, y]) = table_store();
     let mark = |mark| Action::Mark { mark: MarkId(mark), everyone: false };
     let first = [line(3, x, 1.5), line(3, y, 0.1), bind(3, &[]), mark(9)];
-    let said = told(&mut book, &roster, &first);
+    let said = told(&mut tables, &membership, &first);
     assert!(says(&said[0], &["update", "replace", "1", "rows", "x:1.5,y:0.1", "stamp", "9"]), "{said:?}");
-    assert_eq!(told(&mut book, &roster, &[line(3, x, 0.0), mark(10)]), ["update rows x:0 stamp 10"]);
-    assert_eq!(told(&mut book, &roster, &[line(4, x, 2.0), mark(11)]).len(), 0, "another table");
-    assert_eq!(book.answered(ProxyId(0), MarkId(10)), [MarkId(9), MarkId(10)], "an answer covers all before");
-    assert_eq!(book.answered(ProxyId(0), MarkId(11)), [], "that was never sent");
+    assert_eq!(told(&mut tables, &membership, &[line(3, x, 0.0), mark(10)]), ["update rows x:0 stamp 10"]);
+    assert_eq!(told(&mut tables, &membership, &[line(4, x, 2.0), mark(11)]).len(), 0, "another table");
+    assert_eq!(tables.acked(ProxyId(0), MarkId(10)), [MarkId(9), MarkId(10)], "an answer covers all before");
+    assert_eq!(tables.acked(ProxyId(0), MarkId(11)), [], "that was never sent");
     let all = Action::Mark { mark: MarkId(12), everyone: true };
-    assert_eq!(told(&mut book, &roster, &[all]), ["update stamp 12"]);
-    let cleared = told(&mut book, &roster, &[Action::ClearTable { table: TableId(3) }]);
+    assert_eq!(told(&mut tables, &membership, &[all]), ["update stamp 12"]);
+    let cleared = told(&mut tables, &membership, &[Action::ClearTable { table: TableId(3) }]);
     assert_eq!(cleared, ["update replace 1"]);
 }
 
 #[test]
 fn levels_go_with_the_lines_where_one_holds_for_all_and_apart_where_not() {
-    let (mut book, roster, [x, _]) = book();
+    let (mut tables, membership, [x, _]) = table_store();
     let usual = Retry::AfterProofItNeverRan;
     let same = [line(0, x, 1.0), level(Some(0), &[0, 1], 0.9, usual), bind(0, &[0, 1])];
-    assert_eq!(told(&mut book, &roster, &same), ["update replace 1 rows x:1 gate 0.9 again 1"]);
-    let one = told(&mut book, &roster, &[level(Some(0), &[1], 0.5, Retry::Never)]);
+    assert_eq!(told(&mut tables, &membership, &same), ["update replace 1 rows x:1 gate 0.9 again 1"]);
+    let one = told(&mut tables, &membership, &[level(Some(0), &[1], 0.5, Retry::Never)]);
     assert_eq!(one, ["update for order gate 0.5 again 0"]);
     // For all: the lower level, and the table's own way of trying again.
-    let all = told(&mut book, &roster, &[level(None, &[], 0.7, Retry::TwiceAfterAnyFailure)]);
+    let all = told(&mut tables, &membership, &[level(None, &[], 0.7, Retry::TwiceAfterAnyFailure)]);
     assert_eq!(all, ["update for lookup gate 0.7 again 1 part 1", "update for order gate 0.5 again 0"]);
-    let again = told(&mut book, &roster, &[bind(0, &[0, 1])]);
+    let again = told(&mut tables, &membership, &[bind(0, &[0, 1])]);
     let parts = ["update replace 1 rows x:1 part 1", "update for lookup gate 0.7 again 1 part 1"];
     assert_eq!(again[..2], parts, "what holds for all is in every whole table");
 }
 
 #[test]
 fn withdrawals_reach_who_holds_the_node_and_are_taken_back() {
-    let (mut book, roster, [x, y]) = book();
-    told(&mut book, &roster, &[line(0, x, 1.0), bind(0, &[])]);
+    let (mut tables, membership, [x, y]) = table_store();
+    told(&mut tables, &membership, &[line(0, x, 1.0), bind(0, &[])]);
     let withdraw = |node, out| Action::Withdraw { node, out };
-    assert_eq!(told(&mut book, &roster, &[withdraw(y, true)]).len(), 0, "it does not hold it");
-    assert_eq!(told(&mut book, &roster, &[line(0, y, 1.0)]), ["update rows y:1 drop y"]);
-    assert_eq!(told(&mut book, &roster, &[withdraw(y, false)]), ["update undrop y"]);
+    assert_eq!(told(&mut tables, &membership, &[withdraw(y, true)]).len(), 0, "it does not hold it");
+    assert_eq!(told(&mut tables, &membership, &[line(0, y, 1.0)]), ["update rows y:1 drop y"]);
+    assert_eq!(told(&mut tables, &membership, &[withdraw(y, false)]), ["update undrop y"]);
     // A proxy keeps withdrawals over a change of streams.
-    book.leave(ProxyId(0));
-    book.join(ProxyId(0));
-    let said = told(&mut book, &roster, &[bind(0, &[])]);
+    tables.leave(ProxyId(0));
+    tables.join(ProxyId(0));
+    let said = told(&mut tables, &membership, &[bind(0, &[])]);
     assert!(says(&said[0], &["undrop", "y"]), "{said:?}");
 }
 
@@ -330,27 +330,27 @@
         let value = json!({"index": version, "snapshot": whole, "endpoints": entries});
         List::read(&value, &names()).expect("a list")
     };
-    let mut roster = Roster::default();
+    let mut membership = Membership::default();
     let now = Moment::default();
     let changes = list(4, false, vec![entry("x", "a", "Ready")]);
-    assert_eq!(roster.take(&changes, false, now), None, "changes of nothing");
+    assert_eq!(membership.take(&changes, false, now), None, "changes of nothing");
     let first =
         list(4, true, vec![entry("x", "a", "Ready"), entry("y", "c", "Ready"), entry("z", "b", "Lost")]);
-    assert_eq!((first.mentions.len(), first.refused.len()), (1, 2));
-    assert_eq!(first.mentions[0].started, Some(Moment::from_seconds(5.0)));
-    assert!(roster.take(&first, false, now).is_some());
-    assert_eq!(roster.take(&list(3, true, vec![]), false, now), None, "a list from before");
-    assert_eq!(roster.take(&changes, false, now), None, "changes that were in the whole list");
-    let gone = roster.take(&list(5, false, vec![entry("x", "a", "Gone")]), false, now);
+    assert_eq!((first.entries.len(), first.refused.len()), (1, 2));
+    assert_eq!(first.entries[0].started, Some(Moment::from_seconds(5.0)));
+    assert!(membership.take(&first, false, now).is_some());
+    assert_eq!(membership.take(&list(3, true, vec![]), false, now), None, "a list from before");
+    assert_eq!(membership.take(&changes, false, now), None, "changes that were in the full list");
+    let gone = membership.take(&list(5, false, vec![entry("x", "a", "Gone")]), false, now);
     let Some(wheelspread::interface::Event::List { kind: ListKind::Changes, entries }) = gone else {
         panic!("changes, not {gone:?}")
     };
     assert_eq!(entries[0].listing, Listing::Gone);
     let later = now + Span::from_seconds(100.0);
-    roster.forget(later, Span::from_seconds(160.0), |_| false);
-    assert!(roster.id("x").is_some(), "late sums may still name it");
-    roster.forget(later, Span::from_seconds(60.0), |_| true);
-    assert!(roster.id("x").is_some(), "a table names it");
-    roster.forget(later, Span::from_seconds(60.0), |_| false);
-    assert_eq!(roster.id("x"), None);
+    membership.forget(later, Span::from_seconds(160.0), |_| false);
+    assert!(membership.id("x").is_some(), "late sums may still name it");
+    membership.forget(later, Span::from_seconds(60.0), |_| true);
+    assert!(membership.id("x").is_some(), "a table names it");
+    membership.forget(later, Span::from_seconds(60.0), |_| false);
+    assert_eq!(membership.id("x"), None);
 }
--- a/crates/platform/src/link.rs
+++ b/crates/platform/src/connection.rs
@@ -13,7 +13,7 @@
 /// What may wait for who does not read.
 const UNREAD: usize = 128 << 10;
 
-pub struct Link {
+pub struct Connection {
     pub stream: TcpStream,
     pub reader: Reader,
     pub since: Moment,
@@ -35,9 +35,16 @@
     Unread,
 }
 
-impl Link {
-    pub fn new(stream: TcpStream, now: Moment) -> Link {
-        Link { stream, reader: Reader::new(STRANGER), since: now, known: false, out: Vec::new(), written: 0 }
+impl Connection {
+    pub fn new(stream: TcpStream, now: Moment) -> Connection {
+        Connection {
+            stream,
+            reader: Reader::new(STRANGER),
+            since: now,
+            known: false,
+            out: Vec::new(),
+            written: 0,
+        }
     }
 
     /// It has said who it is.
@@ -50,7 +57,7 @@
     /// `messages` takes the whole messages out after each piece.
     pub fn read<F>(&mut self, scratch: &mut [u8], mut messages: F) -> Result<bool, Over>
     where
-        F: FnMut(&mut Link) -> Result<(), Over>,
+        F: FnMut(&mut Connection) -> Result<(), Over>,
     {
         let mut taken = 0;
         while taken < TURN {
--- a/crates/platform/src/call.rs
+++ b/crates/platform/src/exchange.rs
@@ -20,7 +20,7 @@
     TooLong(usize),
 }
 
-pub struct Call {
+pub struct Exchange {
     pub stream: TcpStream,
     request: Vec<u8>,
     sent: usize,
@@ -31,11 +31,19 @@
     pub carried: Vec<u8>,
 }
 
-impl Call {
-    pub fn get(address: SocketAddrV4, target: &str) -> io::Result<Call> {
+impl Exchange {
+    pub fn get(address: SocketAddrV4, target: &str) -> io::Result<Exchange> {
         let stream = reactor::connect(address.ip().octets(), address.port())?;
         let request = format!("GET {target} HTTP/1.1\r\nHost: {address}\r\nAccept: */*\r\n\r\n").into_bytes();
-        Ok(Call { stream, request, sent: 0, head: Vec::new(), body: None, status: 0, carried: Vec::new() })
+        Ok(Exchange {
+            stream,
+            request,
+            sent: 0,
+            head: Vec::new(),
+            body: None,
+            status: 0,
+            carried: Vec::new(),
+        })
     }
 
     /// Writes and reads what it can; whether the answer is whole.
@@ -86,7 +94,7 @@
         Ok(self.body.as_ref().is_some_and(Body::done))
     }
 
-    /// The whole lines that came since the last call.
+    /// The whole lines that came since the last exchange.
     pub fn lines(&mut self) -> Vec<Vec<u8>> {
         let Some(end) = self.carried.iter().rposition(|byte| *byte == b'\n') else { return Vec::new() };
         let rest = self.carried.split_off(end + 1);
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,12 +1,12 @@
 //! The conductor on a platform that speaks to it by messages on plain connections (docs/platform.md): its
-//! configuration (`file`), the connections of proxies and collectors (`link`), calls to discovery and to
-//! nodes (`call`), and the loop that turns them (`service`). Limits of buffers, descriptors and of how long
+//! configuration (`file`), the connections of proxies and collectors (`connection`), exchanges to discovery and to
+//! nodes (`exchange`), and the loop that turns them (`service`). Limits of buffers, descriptors and of how long
 //! strangers are waited for are kept here; everything else is decided beneath `wheelspread-orders`.
 
-mod call;
 mod clock;
+mod connection;
+mod exchange;
 mod file;
-mod link;
 mod service;
 
 pub use file::{BadFile, PlatformFile};
--- a/crates/platform/src/service.rs
+++ b/crates/platform/src/service.rs
@@ -1,9 +1,9 @@
 //! The loop: hears everything that is ready, settles once, and writes what follows.
 
-use crate::call::Call;
 use crate::clock::Clock;
+use crate::connection::{Connection, Over};
+use crate::exchange::Exchange;
 use crate::file::{BadFile, PlatformFile};
-use crate::link::{Link, Over};
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::{SocketAddrV4, TcpListener};
@@ -11,17 +11,17 @@
 use tracing::{debug, info, warn};
 use wheelspread::ids::NodeId;
 use wheelspread::time::{Moment, Span};
-use wheelspread_orders::{load_of, Desk, LinkId, List, Out, Reply};
+use wheelspread_orders::{load_of, ConnectionId, Desk, List, Out, Reply};
 use wheelspread_reactor::{self as reactor, Interest, Poll, Readiness, Signals, Token};
 
 const LISTENER: Token = Token(0);
 const SIGNALS: Token = Token(1);
 const FIRST: u64 = 16;
 
-/// Descriptors that are no connections of proxies, collectors or strangers: the loop's own and calls.
+/// Descriptors that are no connections of proxies, collectors or strangers: the loop's own and exchanges.
 const OWN_SOCKETS: usize = 28;
 /// Calls at a time, the watch of the list among them.
-const CALLS: usize = 12;
+const EXCHANGES: usize = 12;
 /// Seconds until who has not said who it is must go.
 const STRANGER: f64 = 1.6;
 /// Seconds for an answer of discovery; of a watch, which says something every other second, between two.
@@ -39,14 +39,14 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Purpose {
-    /// The whole list, once.
+    /// The full list, once.
     Read,
     Watch,
     Probe(NodeId),
 }
 
 struct Open {
-    call: Call,
+    exchange: Exchange,
     purpose: Purpose,
     since: Moment,
     heard: Moment,
@@ -69,8 +69,8 @@
     signals: Signals,
     listener: TcpListener,
     desk: Desk,
-    links: BTreeMap<u64, Link>,
-    calls: BTreeMap<u64, Open>,
+    connections: BTreeMap<u64, Connection>,
+    exchanges: BTreeMap<u64, Open>,
     next: u64,
     /// Connections that may have more to read than their turn allowed.
     again: BTreeSet<u64>,
@@ -120,8 +120,8 @@
             signals,
             listener,
             desk,
-            links: BTreeMap::new(),
-            calls: BTreeMap::new(),
+            connections: BTreeMap::new(),
+            exchanges: BTreeMap::new(),
             next: FIRST,
             again: BTreeSet::new(),
             dial_at: now,
@@ -192,11 +192,11 @@
 
     fn accept(&mut self, now: Moment) {
         // As many as there is room for when every stranger has given way.
-        let known = self.links.values().filter(|link| link.known).count();
+        let known = self.connections.values().filter(|connection| connection.known).count();
         let most = self.room().saturating_sub(known).clamp(1, 64);
         let (accepted, error) = reactor::accept_at_most(&self.listener, most);
         for stream in accepted {
-            if self.links.len() >= self.room() && !self.evict() {
+            if self.connections.len() >= self.room() && !self.evict() {
                 // All descriptors are held by proxies and collectors: this one comes to nothing.
                 self.counts.strangers += 1;
                 continue;
@@ -206,40 +206,41 @@
                 warn!(%error, "a connection can't be watched");
                 continue;
             }
-            self.links.insert(token, Link::new(stream, now));
+            self.connections.insert(token, Connection::new(stream, now));
             self.read(now, token);
         }
         if let Some(error) = error {
-            warn!(%error, links = self.links.len(), "connections wait");
+            warn!(%error, connections = self.connections.len(), "connections wait");
             self.evict();
         }
     }
 
     /// Ends the stranger that has been silent longest, where descriptors run out.
     fn evict(&mut self) -> bool {
-        let oldest = self.links.iter().find(|(_, link)| !link.known).map(|(token, _)| *token);
-        oldest.and_then(|token| self.drop_link(token, "descriptors are short")).is_some()
+        let oldest =
+            self.connections.iter().find(|(_, connection)| !connection.known).map(|(token, _)| *token);
+        oldest.and_then(|token| self.end_connection(token, "descriptors are short")).is_some()
     }
 
-    fn drop_link(&mut self, token: u64, why: &str) -> Option<Link> {
+    fn end_connection(&mut self, token: u64, why: &str) -> Option<Connection> {
         self.again.remove(&token);
-        let link = self.links.remove(&token)?;
-        let (count, who) = match link.known {
+        let connection = self.connections.remove(&token)?;
+        let (count, who) = match connection.known {
             true => (&mut self.counts.lost, "stream"),
             false => (&mut self.counts.strangers, "stranger"),
         };
         *count += 1;
         debug!(token, why, who, "ended");
-        Some(link)
+        Some(connection)
     }
 
     fn ready(&mut self, now: Moment, ready: &Readiness) {
         let token = ready.token.0;
-        if self.calls.contains_key(&token) {
+        if self.exchanges.contains_key(&token) {
             return self.answer(now, token);
         }
         if ready.writable {
-            if let Some(Err(over)) = self.links.get_mut(&token).map(Link::push) {
+            if let Some(Err(over)) = self.connections.get_mut(&token).map(Connection::push) {
                 return self.over(now, token, &over);
             }
         }
@@ -249,18 +250,18 @@
     }
 
     fn read(&mut self, now: Moment, token: u64) {
-        let Some(mut link) = self.links.remove(&token) else { return };
+        let Some(mut connection) = self.connections.remove(&token) else { return };
         let desk = &mut self.desk;
         let counts = &mut self.counts;
-        let read = link.read(&mut self.scratch, |link| loop {
-            let reply = match link.reader.message()? {
-                Some(strings) => desk.message(now, LinkId(token), &strings),
+        let read = connection.read(&mut self.scratch, |connection| loop {
+            let reply = match connection.reader.message()? {
+                Some(strings) => desk.message(now, ConnectionId(token), &strings),
                 None => return Ok(()),
             };
             match reply {
                 Reply::Nothing => {}
-                Reply::Known => link.know(),
-                Reply::Pong => link.write(b"*1\r\n$4\r\npong\r\n")?,
+                Reply::Known => connection.know(),
+                Reply::Pong => connection.write(b"*1\r\n$4\r\npong\r\n")?,
                 Reply::Close(why) => {
                     counts.left_out += 1;
                     debug!(token, why, "not taken");
@@ -268,7 +269,7 @@
                 }
             }
         });
-        self.links.insert(token, link);
+        self.connections.insert(token, connection);
         match read {
             Ok(true) => drop(self.again.insert(token)),
             Ok(false) => {}
@@ -277,36 +278,36 @@
     }
 
     fn over(&mut self, now: Moment, token: u64, over: &Over) {
-        self.desk.closed(now, LinkId(token));
-        if let (Over::Unread, Some(link)) = (over, self.drop_link(token, &over.to_string())) {
-            reactor::reset(link.stream);
+        self.desk.closed(now, ConnectionId(token));
+        if let (Over::Unread, Some(connection)) = (over, self.end_connection(token, &over.to_string())) {
+            reactor::reset(connection.stream);
         }
     }
 
     // ---- discovery and probes ----
 
-    fn call(&mut self, now: Moment, address: SocketAddrV4, target: &str, purpose: Purpose) -> bool {
-        if self.calls.len() >= CALLS {
+    fn exchange(&mut self, now: Moment, address: SocketAddrV4, target: &str, purpose: Purpose) -> bool {
+        if self.exchanges.len() >= EXCHANGES {
             return false;
         }
-        let opened = Call::get(address, target).and_then(|call| {
+        let opened = Exchange::get(address, target).and_then(|exchange| {
             let token = self.token();
-            self.poll.add(&call.stream, Token(token), Interest::Edges)?;
-            self.calls.insert(token, Open { call, purpose, since: now, heard: now, address });
+            self.poll.add(&exchange.stream, Token(token), Interest::Edges)?;
+            self.exchanges.insert(token, Open { exchange, purpose, since: now, heard: now, address });
             Ok(())
         });
         if let Err(error) = &opened {
-            debug!(%error, ?purpose, "no call");
+            debug!(%error, ?purpose, "no exchange begun");
         }
         opened.is_ok()
     }
 
     fn answer(&mut self, now: Moment, token: u64) {
-        let Some(open) = self.calls.get_mut(&token) else { return };
-        let turned = open.call.turn(&mut self.scratch);
+        let Some(open) = self.exchanges.get_mut(&token) else { return };
+        let turned = open.exchange.turn(&mut self.scratch);
         open.heard = now;
-        let lines = if open.purpose == Purpose::Watch && open.call.status == 200 {
-            open.call.lines()
+        let lines = if open.purpose == Purpose::Watch && open.exchange.status == 200 {
+            open.exchange.lines()
         } else {
             Vec::new()
         };
@@ -318,7 +319,7 @@
             Ok(false) => {}
             Ok(true) => self.answered(now, token),
             Err(error) => {
-                debug!(%error, "call failed");
+                debug!(%error, "exchange failed");
                 self.failed(now, token);
             }
         }
@@ -330,34 +331,28 @@
             Ok(list) => {
                 list.refused.iter().for_each(|why| warn!(why, "left out of the list"));
                 let taken = self.desk.list(now, &list, false);
-                debug!(
-                    version = list.version,
-                    whole = list.whole,
-                    count = list.mentions.len(),
-                    taken,
-                    "list"
-                );
+                debug!(version = list.version, full = list.full, count = list.entries.len(), taken, "list");
             }
             Err(why) => warn!(why, "list can't be read"),
         }
     }
 
     fn answered(&mut self, now: Moment, token: u64) {
-        let Some(open) = self.calls.remove(&token) else { return };
+        let Some(open) = self.exchanges.remove(&token) else { return };
         match open.purpose {
-            Purpose::Read if open.call.status == 200 => self.listed(now, &open.call.carried),
+            Purpose::Read if open.exchange.status == 200 => self.listed(now, &open.exchange.carried),
             Purpose::Read => self.desk.no_list(now),
             Purpose::Watch => self.redial(now),
             Purpose::Probe(node) => {
-                let text = String::from_utf8_lossy(&open.call.carried);
+                let text = String::from_utf8_lossy(&open.exchange.carried);
                 let load = load_of(&text, '=', self.desk.names()).unwrap_or_default();
-                self.desk.probed(now, node, open.call.status == 200, now - open.since, load);
+                self.desk.probed(now, node, open.exchange.status == 200, now - open.since, load);
             }
         }
     }
 
     fn failed(&mut self, now: Moment, token: u64) {
-        let Some(open) = self.calls.remove(&token) else { return };
+        let Some(open) = self.exchanges.remove(&token) else { return };
         match open.purpose {
             Purpose::Read => self.desk.no_list(now),
             Purpose::Watch => self.redial(now),
@@ -374,32 +369,39 @@
 
     fn keep(&mut self, now: Moment) {
         let late = |since: Moment, seconds: f64| now - since > Span::from_seconds(seconds);
-        let strange = self.links.iter().filter(|(_, link)| !link.known && late(link.since, STRANGER));
+        let strange = self
+            .connections
+            .iter()
+            .filter(|(_, connection)| !connection.known && late(connection.since, STRANGER));
         for token in strange.map(|(token, _)| *token).collect::<Vec<_>>() {
-            self.drop_link(token, "it has not said who it is");
+            self.end_connection(token, "it has not said who it is");
         }
         // Who reads slowly may cost memory, but not all of it.
-        let held: usize = self.links.values().map(Link::held).sum();
+        let held: usize = self.connections.values().map(Connection::held).sum();
         if held as f64 > self.file.memory as f64 * BUFFERS {
-            let largest = self.links.iter().max_by_key(|(_, link)| link.held()).map(|(token, _)| *token);
+            let largest = self
+                .connections
+                .iter()
+                .max_by_key(|(_, connection)| connection.held())
+                .map(|(token, _)| *token);
             largest.into_iter().for_each(|token| self.over(now, token, &Over::Unread));
         }
-        let silent = self.calls.iter().filter(|(_, open)| match open.purpose {
-            Purpose::Watch if open.call.status == 0 => late(open.since, LIST),
+        let silent = self.exchanges.iter().filter(|(_, open)| match open.purpose {
+            Purpose::Watch if open.exchange.status == 0 => late(open.since, LIST),
             Purpose::Watch => late(open.heard, WATCH),
             Purpose::Read => late(open.since, LIST),
             Purpose::Probe(_) => late(open.since, PROBE),
         });
         for token in silent.map(|(token, _)| *token).collect::<Vec<_>>() {
-            debug!("a call is not answered");
+            debug!("an exchange is not answered");
             self.failed(now, token);
         }
         let address = self.file.discovery;
         let watches = |open: &Open| open.purpose == Purpose::Watch && open.address == address;
-        if now >= self.dial_at && !self.calls.values().any(watches) {
+        if now >= self.dial_at && !self.exchanges.values().any(watches) {
             let from = self.desk.version().map(|version| format!("&from={version}")).unwrap_or_default();
             self.redial(now);
-            self.call(now, address, &format!("/catalog/members?watch=1{from}"), Purpose::Watch);
+            self.exchange(now, address, &format!("/catalog/members?watch=1{from}"), Purpose::Watch);
         }
         if let Some((at, tries)) = self.reread.filter(|(at, _)| now >= *at) {
             self.reload(now, at, tries);
@@ -438,11 +440,11 @@
     fn report(&mut self, now: Moment) {
         self.report_at = now + Span::from_seconds(REPORT);
         let Counts { strangers, left_out, lost } = std::mem::take(&mut self.counts);
-        let buffers: usize = self.links.values().map(Link::held).sum();
+        let buffers: usize = self.connections.values().map(Connection::held).sum();
         info!(
             proxies = self.desk.proxies(),
-            links = self.links.len(),
-            calls = self.calls.len(),
+            connections = self.connections.len(),
+            exchanges = self.exchanges.len(),
             list = self.desk.version(),
             strangers,
             left_out,
@@ -456,20 +458,22 @@
 
     fn carry_out(&mut self, now: Moment, out: Out) {
         match out {
-            Out::Write { link, bytes } => {
-                if let Some(Err(over)) = self.links.get_mut(&link.0).map(|link| link.write(&bytes)) {
-                    self.over(now, link.0, &over);
+            Out::Write { connection, bytes } => {
+                if let Some(Err(over)) =
+                    self.connections.get_mut(&connection.0).map(|connection| connection.write(&bytes))
+                {
+                    self.over(now, connection.0, &over);
                 }
             }
-            Out::Close { link, why } => drop(self.drop_link(link.0, why)),
+            Out::Close { connection, why } => drop(self.end_connection(connection.0, why)),
             Out::ReadList => {
-                if !self.call(now, self.file.discovery, "/catalog/members", Purpose::Read) {
+                if !self.exchange(now, self.file.discovery, "/catalog/members", Purpose::Read) {
                     self.desk.no_list(now);
                 }
             }
             Out::Probe { node, address } => {
                 let target = if self.file.names.fields.is_empty() { "/ping" } else { "/_load" };
-                if !self.call(now, address, target, Purpose::Probe(node)) {
+                if !self.exchange(now, address, target, Purpose::Probe(node)) {
                     self.desk.probed(now, node, false, Span::ZERO, Vec::new());
                 }
             }
