What is owed when a connection ends is paid: a last look, a leave, a stream that stays ended

Work on every wake-up no longer goes over all connections (strangers and buffers are kept count of), and no stream is looked at when nothing was ordered.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -157,6 +157,7 @@
     log::start(&LogPlan::default());
     let service = match wheelspread_platform::Service::start(path) {
         Ok(service) => service,
+        Err(wheelspread_platform::NoStart::Told) => return ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("{error}");
             return ExitCode::from(BAD_INPUT);
--- a/crates/orders/src/desk.rs
+++ b/crates/orders/src/desk.rs
@@ -2,7 +2,7 @@
 //! once for all that was heard, not more often than each tick.
 
 use crate::handshake::{effect, Effect, Party};
-use crate::membership::{List, Membership};
+use crate::membership::{List, Membership, SourceId};
 use crate::message::{self, Bounds, Message};
 use crate::table_store::{Kept, TableStore};
 use crate::ConnectionId;
@@ -11,7 +11,7 @@
 use std::rc::Rc;
 use wheelspread::balance::Balancer;
 use wheelspread::facts::Facts;
-use wheelspread::ids::{NodeId, ProxyId, TimerId};
+use wheelspread::ids::{NodeId, ProxyId, TimerId, ZoneId};
 use wheelspread::interface::{Action, Event, ListKind};
 use wheelspread::ring::Ring;
 use wheelspread::time::{Moment, Span};
@@ -71,6 +71,8 @@
     tables: TableStore,
     parties: BTreeMap<ConnectionId, Party>,
     streams: BTreeMap<ProxyId, Stream>,
+    /// The newest connection that each proxy has joined on.
+    newest: BTreeMap<ProxyId, ConnectionId>,
     timers: BTreeSet<(Moment, TimerId)>,
     answers: Ring<Slowest>,
     /// Something was heard since the last moment settled.
@@ -117,6 +119,7 @@
             names,
             parties: BTreeMap::new(),
             streams: BTreeMap::new(),
+            newest: BTreeMap::new(),
             timers: BTreeSet::new(),
             answers: Ring::new(second, ANSWERS),
             pending: true,
@@ -151,9 +154,9 @@
         self.membership.version()
     }
 
-    /// Takes a list; `cached`: as it stood before the start. Whether it was news.
-    pub fn list(&mut self, now: Moment, list: &List, cached: bool) -> bool {
-        let Some(event) = self.membership.take(list, cached, now) else { return false };
+    /// Takes a list. Whether it was news.
+    pub fn list(&mut self, now: Moment, list: &List, source: SourceId) -> bool {
+        let Some(event) = self.membership.take(list, source, now) else { return false };
         self.hear(now, &event);
         true
     }
@@ -189,6 +192,12 @@
                 self.parties.insert(connection, Party::Collector(zone));
                 Reply::Known
             }
+            // Connections are numbered as they came: this one was given up by its proxy for a newer one.
+            (Effect::Join, Some(Message::Joined { proxy, .. }))
+                if self.newest.get(&proxy).is_some_and(|newest| *newest > connection) =>
+            {
+                Reply::Close("its proxy has a newer stream".to_string())
+            }
             (Effect::Join, Some(Message::Joined { proxy, zone, usual_rate, standing })) => {
                 if let Some(old) = self.streams.get(&proxy).map(|stream| stream.connection) {
                     // A new stream may come before the end of the old one is seen.
@@ -196,6 +205,7 @@
                 }
                 self.parties.insert(connection, Party::Proxy(proxy));
                 self.streams.insert(proxy, Stream { connection, heard: now });
+                self.newest.insert(proxy, connection);
                 self.tables.join(proxy);
                 self.hear(now, &Event::ProxyJoined { proxy, zone, usual_rate, fresh: standing });
                 Reply::Known
@@ -247,27 +257,44 @@
         }
     }
 
-    /// Ends a connection from this side.
+    /// Ends a connection from this side. Until its owner has closed it, it is nobody.
     fn end(&mut self, now: Moment, connection: ConnectionId, why: &'static str) {
         self.out.push(Out::Close { connection, why });
-        self.closed(now, connection);
+        self.leave(now, connection);
+        self.parties.insert(connection, Party::Ended);
     }
 
     /// A connection has ended.
     pub fn closed(&mut self, now: Moment, connection: ConnectionId) {
-        if let Some(Party::Proxy(proxy)) = self.parties.remove(&connection) {
-            if self.streams.get(&proxy).is_some_and(|stream| stream.connection == connection) {
-                self.streams.remove(&proxy);
-                self.tables.leave(proxy);
-                self.hear(now, &Event::ProxyLeft { proxy });
-            }
+        self.leave(now, connection);
+        self.parties.remove(&connection);
+    }
+
+    fn leave(&mut self, now: Moment, connection: ConnectionId) {
+        let Some(Party::Proxy(proxy)) = self.parties.get(&connection).copied() else { return };
+        if self.streams.get(&proxy).is_some_and(|stream| stream.connection == connection) {
+            self.streams.remove(&proxy);
+            self.tables.leave(proxy);
+            self.hear(now, &Event::ProxyLeft { proxy });
         }
     }
 
+    /// The collector that is missed least: a newer one has come for its zone, as after a silent break, which
+    /// nothing else tells of.
+    pub fn spare(&self) -> Option<ConnectionId> {
+        let newer = |at: &ConnectionId, zone: ZoneId| {
+            self.parties.range(at..).skip(1).any(|(_, party)| *party == Party::Collector(zone))
+        };
+        let spare = |(at, party): (&ConnectionId, &Party)| match party {
+            Party::Collector(zone) if newer(at, *zone) => Some(*at),
+            _ => None,
+        };
+        self.parties.iter().find_map(spare)
+    }
+
     /// Settles the moment if it is time, and tells what is to be done.
     pub fn settle(&mut self, now: Moment) -> Vec<Out> {
         if now >= self.next_look {
-            self.next_look = now + Span::from_seconds(LOOK);
             self.look(now);
         }
         while let Some((_, timer)) = self.timers.first().copied().filter(|first| first.0 <= now) {
@@ -317,18 +344,27 @@
         }
     }
 
-    /// Ends streams that have fallen silent, which nothing else tells of: a machine that vanished sends no
-    /// end, and what waits for its answers would hold up the orders to all others.
-    fn look(&mut self, now: Moment) {
+    /// Streams that have fallen silent, which nothing else tells of: a machine that vanished sends no end,
+    /// and what waits for its answers would hold up the orders to all others. Their owner reads them once
+    /// more before the moment settles: an answer that has come and was not read yet is none too late.
+    pub fn silent(&self, now: Moment) -> Vec<ConnectionId> {
+        if now < self.next_look {
+            return Vec::new();
+        }
         let slowest = self.answers.whole(now).0;
         let limit = Span::from_seconds(SILENT.0 + SILENT.2 * slowest) + self.figures.delay * SILENT.1;
         let silent = |(proxy, stream): (&ProxyId, &Stream)| {
             let sent = self.tables.unacked(*proxy)?;
             (now - sent > limit && now - stream.heard > limit).then_some(stream.connection)
         };
-        for connection in self.streams.iter().filter_map(silent).collect::<Vec<_>>() {
+        self.streams.iter().filter_map(silent).collect()
+    }
+
+    fn look(&mut self, now: Moment) {
+        for connection in self.silent(now) {
             self.end(now, connection, "it has fallen silent");
         }
+        self.next_look = now + Span::from_seconds(LOOK);
         let (tables, membership) = (&self.tables, &mut self.membership);
         membership.forget(now, self.figures.warm_after * NAMES_KEPT, |node| tables.names(node));
     }
--- a/crates/orders/src/handshake.rs
+++ b/crates/orders/src/handshake.rs
@@ -9,6 +9,9 @@
     Stranger,
     Collector(ZoneId),
     Proxy(ProxyId),
+    /// It is to be ended from this side. What it still says counts for nothing: taken for a stranger, it
+    /// could join again by bytes that were on their way.
+    Ended,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -16,6 +19,7 @@
     Stranger,
     Collector,
     Proxy,
+    Ended,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -69,6 +73,7 @@
         Party::Stranger => Stands::Stranger,
         Party::Collector(_) => Stands::Collector,
         Party::Proxy(_) => Stands::Proxy,
+        Party::Ended => Stands::Ended,
     };
     let of = |proxy: &ProxyId, says| match party {
         Party::Proxy(own) if own != *proxy => Says::Foreign,
--- a/crates/orders/src/lib.rs
+++ b/crates/orders/src/lib.rs
@@ -12,7 +12,7 @@
 mod tests;
 
 pub use desk::{Desk, Out, Reply};
-pub use membership::{Entry, List};
+pub use membership::{Entry, List, SourceId, WatchPlace, CONFIGURATION};
 pub use message::{load_of, BadMessage};
 
 /// What the owner of the sockets exchanges a connection by.
--- a/crates/orders/src/membership.rs
+++ b/crates/orders/src/membership.rs
@@ -29,8 +29,37 @@
     pub version: u64,
     pub full: bool,
     pub entries: Vec<Entry>,
-    /// Entries that can't be right, and why.
+    /// Entries that can't be right, and why; the names of those that have one.
     pub refused: Vec<String>,
+    pub spoilt: Vec<String>,
+}
+
+/// One asking for the list. What was asked for later knows better, also where discovery counts anew.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct SourceId(pub u64);
+
+/// The list that the configuration brings, from before the start: whatever discovery says is newer.
+pub const CONFIGURATION: SourceId = SourceId(0);
+
+/// How far a watch has come. Discovery that counts anew answers a watch from a version it never had with
+/// nothing until its own count gets there: lower versions on a watch say so, and the full list is owed.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct WatchPlace {
+    version: Option<u64>,
+    spoke: bool,
+}
+
+impl WatchPlace {
+    pub fn from(version: Option<u64>) -> WatchPlace {
+        WatchPlace { version, spoke: false }
+    }
+
+    /// Whether this goes on from there; the first answer may be a full list of any version.
+    pub fn follows(&mut self, list: &List) -> bool {
+        let fits = self.version.is_none_or(|version| list.version >= version) || (list.full && !self.spoke);
+        (self.version, self.spoke) = (Some(list.version), true);
+        fits
+    }
 }
 
 impl List {
@@ -38,14 +67,17 @@
         let version = value["index"].as_u64().ok_or("a list without its `index`")?;
         let full = value["snapshot"].as_bool().ok_or("a list without its `snapshot`")?;
         let told = value["endpoints"].as_array().ok_or("a list without its `endpoints`")?;
-        let (mut entries, mut refused) = (Vec::new(), Vec::new());
+        let (mut entries, mut refused, mut spoilt) = (Vec::new(), Vec::new(), Vec::new());
         for one in told {
             match read_entry(one, names) {
                 Ok(entry) => entries.push(entry),
-                Err(text) => refused.push(text),
+                Err(text) => {
+                    refused.push(text);
+                    spoilt.extend(one["name"].as_str().map(str::to_string));
+                }
             }
         }
-        Ok(List { version, full, entries, refused })
+        Ok(List { version, full, entries, refused, spoilt })
     }
 }
 
@@ -79,8 +111,8 @@
 
 #[derive(Clone, Debug)]
 struct Known {
-    name: String,
-    address: SocketAddrV4,
+    /// As it was listed last.
+    entry: Entry,
     listed: bool,
     since: Moment,
 }
@@ -89,21 +121,21 @@
 pub struct Membership {
     ids: BTreeMap<String, NodeId>,
     nodes: BTreeMap<NodeId, Known>,
-    /// Of what was taken last; nothing was before the first full list.
-    version: Option<u64>,
+    /// Of what was taken last, and who said it; nothing was before the first full list.
+    stands: Option<(SourceId, u64)>,
 }
 
 impl Membership {
     pub fn version(&self) -> Option<u64> {
-        self.version
+        self.stands.map(|stands| stands.1)
     }
 
     pub fn name(&self, id: NodeId) -> Option<&str> {
-        self.nodes.get(&id).map(|known| known.name.as_str())
+        self.nodes.get(&id).map(|known| known.entry.name.as_str())
     }
 
     pub fn address(&self, id: NodeId) -> Option<SocketAddrV4> {
-        self.nodes.get(&id).map(|known| known.address)
+        self.nodes.get(&id).map(|known| known.entry.address)
     }
 
     pub fn id(&self, name: &str) -> Option<NodeId> {
@@ -121,27 +153,32 @@
             id
         });
         let listed = entry.listing != Listing::Gone;
-        let known = Known { name: entry.name.clone(), address: entry.address, listed, since: now };
+        let known = Known { entry: entry.clone(), listed, since: now };
         self.ids.insert(entry.name.clone(), id);
         self.nodes.insert(id, known);
         id
     }
 
-    /// What the list tells the module; nothing, where it is older than what was taken.
-    pub fn take(&mut self, list: &List, cached: bool, now: Moment) -> Option<Event> {
-        let stale = self.version.is_some_and(|version| {
+    /// What the list tells the module; nothing, where it is older than what was taken. A source asked for
+    /// before the one that stands has been left, and says nothing any more. One asked for later is believed
+    /// in its full list whatever that counts, since discovery may have begun to count anew.
+    pub fn take(&mut self, list: &List, source: SourceId, now: Moment) -> Option<Event> {
+        let news = self.stands.map_or(list.full, |(stands, version)| {
             // A full list of the same version may repair what a lost change left out.
-            if list.full {
-                list.version < version
-            } else {
-                list.version <= version
-            }
+            let newer = list.version > version || (list.full && list.version == version);
+            source >= stands && (newer || (list.full && source > stands))
         });
-        if stale || (!list.full && self.version.is_none()) {
+        if !news {
             return None;
         }
-        self.version = Some(list.version);
+        self.stands = Some((source, list.version));
+        let mut entries = list.entries.clone();
         if list.full {
+            // An entry that can't be read loses only itself: its node stays what it was listed as.
+            let kept = |name: &String| self.nodes.get(self.ids.get(name)?).filter(|known| known.listed);
+            let named = |name: &&String| !list.entries.iter().any(|entry| entry.name == **name);
+            entries
+                .extend(list.spoilt.iter().filter(named).filter_map(kept).map(|known| known.entry.clone()));
             for known in self.nodes.values_mut().filter(|known| known.listed) {
                 (known.listed, known.since) = (false, now);
             }
@@ -155,9 +192,9 @@
             weight: entry.weight,
             started: entry.started,
         };
-        let entries = list.entries.iter().map(entry).collect();
-        let kind = match (cached, list.full) {
-            (true, _) => ListKind::Cached,
+        let entries = entries.iter().map(entry).collect();
+        let kind = match (source, list.full) {
+            (CONFIGURATION, _) => ListKind::Cached,
             (_, true) => ListKind::Complete,
             _ => ListKind::Changes,
         };
--- a/crates/orders/src/table_store.rs
+++ b/crates/orders/src/table_store.rs
@@ -57,6 +57,8 @@
     cleared: BTreeSet<TableId>,
     bound: BTreeMap<ProxyId, BTreeSet<TableId>>,
     mark: Option<(MarkId, bool)>,
+    /// Whether anything was ordered at all: if not, no stream is looked at.
+    any: bool,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -108,7 +110,10 @@
     }
 
     pub fn names(&self, node: NodeId) -> bool {
-        self.withdrawn.contains(&node) || self.tables.values().any(|table| table.lines.contains_key(&node))
+        // Who was told to shut it out can only be told by its name to let it back.
+        self.withdrawn.contains(&node)
+            || self.tables.values().any(|table| table.lines.contains_key(&node))
+            || self.streams.values().any(|told| told.out.contains(&node))
     }
 
     /// The operations that an order names; none named is all of them.
@@ -163,12 +168,16 @@
             Action::Mark { mark, everyone } => self.news.mark = Some((*mark, *everyone)),
             _ => return Kept::NotMine,
         }
+        self.news.any = true;
         Kept::Kept
     }
 
     /// The messages that what was ordered makes, as bytes to write.
     pub fn messages(&mut self, now: Moment, membership: &Membership) -> Vec<(ProxyId, Rc<[u8]>)> {
         let news = std::mem::take(&mut self.news);
+        if !news.any {
+            return Vec::new();
+        }
         let mut made: BTreeMap<Key, Option<Rc<[u8]>>> = BTreeMap::new();
         let mut messages = Vec::new();
         for proxy in self.streams.keys().copied().collect::<Vec<_>>() {
--- a/crates/orders/src/tests.rs
+++ b/crates/orders/src/tests.rs
@@ -1,6 +1,7 @@
 //! Scripts in `scenarios/`, a line each, `#` begins a comment:
 //!
 //!     TIME list VERSION NAME:ZONE[:STATUS][:AGE] ..    the full list; `change` for changes of it
+//!     TIME source N                                     lists come from that asking, the first if not said
 //!     TIME connection KEY WORDS ..                            a message on that connection
 //!     TIME answer KEY                                   it answers the newest mark it was sent
 //!     TIME end KEY                                      the connection ends
@@ -17,7 +18,7 @@
 use crate::membership::Membership;
 use crate::message::{read, BadMessage, Bounds};
 use crate::table_store::{Kept, TableStore};
-use crate::{ConnectionId, Desk, List, Out, Reply};
+use crate::{ConnectionId, Desk, List, Out, Reply, SourceId, WatchPlace, CONFIGURATION};
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
 use test_case::test_case;
@@ -65,10 +66,13 @@
 /// the parts that are named are looked for.
 fn says(text: &str, words: &[&str]) -> bool {
     let said: Vec<&str> = text.split(' ').collect();
+    // `NAME:*` is a line of that node, whatever its weight.
+    let part = |said: &str, word: &str| match word.strip_suffix('*') {
+        Some(head) if head.ends_with(':') => said.starts_with(head),
+        _ => said == word,
+    };
     let same = |(said, word): (&&str, &&str)| {
-        let parts =
-            |text: &str| text.split(',').map(str::to_string).collect::<std::collections::BTreeSet<_>>();
-        *word == "*" || parts(word).is_subset(&parts(said))
+        *word == "*" || word.split(',').all(|word| said.split(',').any(|said| part(said, word)))
     };
     said.windows(words.len()).any(|some| some.iter().zip(words).all(same))
 }
@@ -80,6 +84,7 @@
     told: BTreeMap<u64, Vec<String>>,
     marks: BTreeMap<u64, String>,
     closed: Vec<u64>,
+    source: u64,
 }
 
 fn key(word: &str) -> u64 {
@@ -100,7 +105,7 @@
         let entries: Vec<Value> = words[1..].iter().map(entry).collect();
         let value = json!({"index": version, "snapshot": whole, "endpoints": entries});
         let list = List::read(&value, self.desk.names()).expect("a list");
-        self.desk.list(Moment::from_seconds(now), &list, false);
+        self.desk.list(Moment::from_seconds(now), &list, SourceId(self.source));
     }
 
     fn play(&mut self, time: f64, words: &[&str]) {
@@ -109,6 +114,7 @@
         match words[0] {
             "list" => self.list(true, &words[1..]),
             "change" => self.list(false, &words[1..]),
+            "source" => self.source = key(words[1]),
             "connection" => {
                 let strings: Vec<&[u8]> = words[2..].iter().map(|word| word.as_bytes()).collect();
                 self.reply = self.desk.message(now, ConnectionId(key(words[1])), &strings);
@@ -176,10 +182,12 @@
 #[test_case(include_str!("../scenarios/spoilt.txt"); "spoilt reports and answers")]
 #[test_case(include_str!("../scenarios/streams.txt"); "streams that break and come back")]
 #[test_case(include_str!("../scenarios/silent.txt"); "streams that fall silent")]
+#[test_case(include_str!("../scenarios/crossing.txt"); "two streams of one proxy cross")]
+#[test_case(include_str!("../scenarios/sources.txt"); "discovery that moves or counts anew")]
 #[test_case(include_str!("../scenarios/lists.txt"); "lists that come late or twice")]
 fn plays(script: &str) {
     let (told, marks, closed) = Default::default();
-    let mut stage = Stage { desk: desk(), now: EPOCH, reply: Reply::Nothing, told, marks, closed };
+    let mut stage = Stage { desk: desk(), now: EPOCH, reply: Reply::Nothing, told, marks, closed, source: 1 };
     let mut lines: Vec<(f64, Vec<&str>)> = Vec::new();
     for line in script.lines().chain(["expect end"]) {
         let line = line.split('#').next().unwrap_or("").trim();
@@ -245,7 +253,7 @@
         })
         .collect();
     let list = List::read(&json!({"index": 1, "snapshot": true, "endpoints": entries}), &names());
-    membership.take(&list.expect("a list"), true, Moment::default());
+    membership.take(&list.expect("a list"), CONFIGURATION, Moment::default());
     let ids = ["x", "y"].map(|name| membership.id(name).expect("listed"));
     let mut tables = TableStore::new(&names().operations);
     tables.join(ProxyId(0));
@@ -333,15 +341,15 @@
     let mut membership = Membership::default();
     let now = Moment::default();
     let changes = list(4, false, vec![entry("x", "a", "Ready")]);
-    assert_eq!(membership.take(&changes, false, now), None, "changes of nothing");
+    assert_eq!(membership.take(&changes, SourceId(1), now), None, "changes of nothing");
     let first =
         list(4, true, vec![entry("x", "a", "Ready"), entry("y", "c", "Ready"), entry("z", "b", "Lost")]);
     assert_eq!((first.entries.len(), first.refused.len()), (1, 2));
     assert_eq!(first.entries[0].started, Some(Moment::from_seconds(5.0)));
-    assert!(membership.take(&first, false, now).is_some());
-    assert_eq!(membership.take(&list(3, true, vec![]), false, now), None, "a list from before");
-    assert_eq!(membership.take(&changes, false, now), None, "changes that were in the full list");
-    let gone = membership.take(&list(5, false, vec![entry("x", "a", "Gone")]), false, now);
+    assert!(membership.take(&first, SourceId(1), now).is_some());
+    assert_eq!(membership.take(&list(3, true, vec![]), SourceId(1), now), None, "a list from before");
+    assert_eq!(membership.take(&changes, SourceId(1), now), None, "changes that were in the full list");
+    let gone = membership.take(&list(5, false, vec![entry("x", "a", "Gone")]), SourceId(1), now);
     let Some(wheelspread::interface::Event::List { kind: ListKind::Changes, entries }) = gone else {
         panic!("changes, not {gone:?}")
     };
@@ -354,3 +362,35 @@
     membership.forget(later, Span::from_seconds(60.0), |_| false);
     assert_eq!(membership.id("x"), None);
 }
+
+#[test]
+fn a_watch_that_counts_lower_than_before_owes_the_full_list() {
+    let list = |version: u64, full: bool| {
+        let value = json!({"index": version, "snapshot": full, "endpoints": []});
+        List::read(&value, &names()).expect("a list")
+    };
+    let mut place = WatchPlace::from(Some(40));
+    assert!(place.follows(&list(40, false)), "nothing new");
+    assert!(place.follows(&list(41, false)) && !place.follows(&list(6, false)));
+    let mut place = WatchPlace::from(Some(40));
+    assert!(!place.follows(&list(6, false)), "what changed after 40 can't be 6");
+    let mut place = WatchPlace::from(Some(40));
+    assert!(place.follows(&list(6, true)), "the full list, of a new count");
+    assert!(place.follows(&list(7, false)) && !place.follows(&list(5, true)), "a full list from before");
+    assert!(WatchPlace::from(None).follows(&list(2, false)));
+}
+
+#[test]
+fn a_collector_is_spared_once_a_newer_one_has_come_for_its_zone() {
+    let mut desk = desk();
+    let now = Moment::from_seconds(EPOCH);
+    let mut collect = |at: u64, zone: &str| {
+        let strings = ["collector", "az", zone].map(str::as_bytes);
+        assert_eq!(desk.message(now, ConnectionId(at), &strings), Reply::Known);
+        desk.spare()
+    };
+    assert_eq!((collect(5, "a"), collect(6, "b")), (None, None));
+    assert_eq!(collect(7, "a"), Some(ConnectionId(5)));
+    desk.closed(now, ConnectionId(5));
+    assert_eq!(desk.spare(), None);
+}
--- a/crates/platform/src/connection.rs
+++ b/crates/platform/src/connection.rs
@@ -22,13 +22,15 @@
     written: usize,
 }
 
-/// Why a connection is over.
+/// Why a connection can't go on.
 #[derive(Debug, thiserror::Error)]
 pub enum Over {
     #[error("it has ended")]
     Ended,
     #[error("{0}")]
     Failed(#[from] io::Error),
+    #[error("not taken: {0}")]
+    Refused(String),
     #[error("{0}")]
     Unreadable(#[from] BadMessage),
     #[error("it does not read what it is sent")]
@@ -79,12 +81,14 @@
         Ok(true)
     }
 
+    /// What the kernel does not take at once waits here, and is bounded.
     pub fn write(&mut self, bytes: &[u8]) -> Result<(), Over> {
-        if self.out.len() - self.written + bytes.len() > UNREAD {
+        self.out.extend_from_slice(bytes);
+        self.push()?;
+        if self.out.len() - self.written > UNREAD {
             return Err(Over::Unread);
         }
-        self.out.extend_from_slice(bytes);
-        self.push()
+        Ok(())
     }
 
     /// Sends what waits, as far as it goes.
--- a/crates/platform/src/exchange.rs
+++ b/crates/platform/src/exchange.rs
@@ -29,6 +29,10 @@
     pub status: u16,
     /// What the body carried so far; the caller takes it out.
     pub carried: Vec<u8>,
+    /// How far no line's end is.
+    looked: usize,
+    /// Bytes that have come.
+    pub came: u64,
 }
 
 impl Exchange {
@@ -43,6 +47,8 @@
             body: None,
             status: 0,
             carried: Vec::new(),
+            looked: 0,
+            came: 0,
         })
     }
 
@@ -71,6 +77,7 @@
                 Err(error) if error.kind() == ErrorKind::Interrupted => continue,
                 Err(error) => return Err(error.into()),
             };
+            self.came += count as u64;
             if self.take(&scratch[..count])? {
                 return Ok(true);
             }
@@ -94,10 +101,17 @@
         Ok(self.body.as_ref().is_some_and(Body::done))
     }
 
-    /// The whole lines that came since the last exchange.
+    /// The whole lines that came since they were last taken. No byte is looked at twice: a long list may
+    /// come in pieces of a byte.
     pub fn lines(&mut self) -> Vec<Vec<u8>> {
-        let Some(end) = self.carried.iter().rposition(|byte| *byte == b'\n') else { return Vec::new() };
+        let new = self.looked.min(self.carried.len());
+        let end = self.carried[new..].iter().rposition(|byte| *byte == b'\n').map(|at| new + at);
+        let Some(end) = end else {
+            self.looked = self.carried.len();
+            return Vec::new();
+        };
         let rest = self.carried.split_off(end + 1);
+        self.looked = rest.len();
         let whole = std::mem::replace(&mut self.carried, rest);
         whole.split(|byte| *byte == b'\n').map(<[u8]>::to_vec).filter(|line| !line.is_empty()).collect()
     }
--- a/crates/platform/src/service.rs
+++ b/crates/platform/src/service.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::Clock;
 use crate::connection::{Connection, Over};
+use crate::ending::{Ending, LastLook};
 use crate::exchange::Exchange;
 use crate::file::{BadFile, PlatformFile};
 use std::collections::{BTreeMap, BTreeSet};
@@ -11,7 +12,9 @@
 use tracing::{debug, info, warn};
 use wheelspread::ids::NodeId;
 use wheelspread::time::{Moment, Span};
-use wheelspread_orders::{load_of, ConnectionId, Desk, List, Out, Reply};
+use wheelspread_orders::{
+    load_of, ConnectionId, Desk, List, Out, Reply, SourceId, WatchPlace, CONFIGURATION,
+};
 use wheelspread_reactor::{self as reactor, Interest, Poll, Readiness, Signals, Token};
 
 const LISTENER: Token = Token(0);
@@ -22,8 +25,14 @@
 const OWN_SOCKETS: usize = 28;
 /// Calls at a time, the watch of the list among them.
 const EXCHANGES: usize = 12;
-/// Seconds until who has not said who it is must go.
+/// Of them, those that may be probes: the list must find one free.
+const PROBES: usize = EXCHANGES - 4;
+/// Seconds until who has not said who it is must go; and in which nobody is evicted for want of a descriptor,
+/// since proxies that come in hundreds need that long to say a word. Those who wait to be accepted lose nothing.
 const STRANGER: f64 = 1.6;
+const YOUNG: f64 = 0.1;
+/// Seconds between two tries for an address that the conductor before this one still holds, and how many.
+const REBIND: (f64, u32) = (0.05, 200);
 /// Seconds for an answer of discovery; of a watch, which says something every other second, between two.
 const LIST: f64 = 2.0;
 const WATCH: f64 = 3.0;
@@ -51,6 +60,8 @@
     since: Moment,
     heard: Moment,
     address: SocketAddrV4,
+    source: SourceId,
+    place: WatchPlace,
 }
 
 /// Counted since the last report.
@@ -70,12 +81,20 @@
     listener: TcpListener,
     desk: Desk,
     connections: BTreeMap<u64, Connection>,
+    /// Those that have not said who they are, longest here first; and what all connections hold in memory.
+    strangers: BTreeSet<u64>,
+    held: usize,
+    /// The listener is left alone until then: there is no descriptor for who waits there.
+    listen_at: Option<Moment>,
     exchanges: BTreeMap<u64, Open>,
     next: u64,
     /// Connections that may have more to read than their turn allowed.
     again: BTreeSet<u64>,
     dial_at: Moment,
     dial_wait: f64,
+    /// The newest asking for the list; whether it must be heard in full before changes mean anything.
+    source: SourceId,
+    recount: bool,
     reread: Option<(Moment, u32)>,
     counts: Counts,
     report_at: Moment,
@@ -90,26 +109,32 @@
     Facts(String),
     #[error("{what}: {error}")]
     Io { what: String, error: io::Error },
+    /// Which is no failure.
+    #[error("told to stop")]
+    Told,
 }
 
 impl Service {
     pub fn start(path: &Path) -> Result<Service, NoStart> {
+        let io = |what: &str| {
+            let what = what.to_string();
+            move |error| NoStart::Io { what, error }
+        };
+        // First of all: a signal that came before would end the program, and not by its own hand.
+        let mut poll = Poll::new().map_err(io("epoll"))?;
+        let wanted = [reactor::TERMINATE, reactor::INTERRUPT, reactor::RELOAD];
+        let signals = Signals::new(&poll, SIGNALS, &wanted).map_err(io("signals"))?;
         let file = PlatformFile::read(path)?;
         let clock = Clock::new();
         let now = clock.now();
         let mut desk =
             Desk::start(now, file.seed, file.facts.clone(), file.names.clone()).map_err(NoStart::Facts)?;
+        file.refused.iter().for_each(|why| warn!(why, "left out of the known list"));
         if let Some(known) = &file.known {
-            desk.list(now, known, true);
+            desk.list(now, known, CONFIGURATION);
         }
-        let io = |what: &str| {
-            let what = what.to_string();
-            move |error| NoStart::Io { what, error }
-        };
-        let poll = Poll::new().map_err(io("epoll"))?;
-        let wanted = [reactor::TERMINATE, reactor::INTERRUPT, reactor::RELOAD];
-        let signals = Signals::new(&poll, SIGNALS, &wanted).map_err(io("signals"))?;
-        let listener = reactor::listen(file.listen).map_err(io(&file.listen.to_string()))?;
+        let mut reload = false;
+        let listener = bind(&mut poll, &signals, &mut reload, file.listen)?;
         poll.add(&listener, LISTENER, Interest::Readable).map_err(io("epoll"))?;
         info!(name = file.name, listen = %file.listen, sockets = file.sockets, memory = file.memory, "ready");
         Ok(Service {
@@ -121,12 +146,17 @@
             listener,
             desk,
             connections: BTreeMap::new(),
+            strangers: BTreeSet::new(),
+            held: 0,
+            listen_at: None,
             exchanges: BTreeMap::new(),
             next: FIRST,
             again: BTreeSet::new(),
             dial_at: now,
             dial_wait: AGAIN.0,
-            reread: None,
+            source: CONFIGURATION,
+            recount: false,
+            reread: reload.then_some((now, 0)),
             counts: Counts::default(),
             report_at: now + Span::from_seconds(REPORT),
             scratch: vec![0; 64 << 10],
@@ -140,28 +170,18 @@
             let wait = if self.again.is_empty() { self.wake_at() - self.clock.now() } else { Span::ZERO };
             self.poll.wait(wait, &mut ready)?;
             let now = self.clock.now();
-            let mut callers = false;
+            if ready.iter().any(|ready| ready.token == SIGNALS) && self.told(now) {
+                self.stop();
+                return Ok(());
+            }
             for token in std::mem::take(&mut self.again) {
                 self.read(now, token);
             }
-            for ready in &ready {
-                match ready.token {
-                    LISTENER => callers = true,
-                    SIGNALS => {
-                        let came = self.signals.came();
-                        if came.iter().any(|signal| *signal != reactor::RELOAD) {
-                            info!("told to stop");
-                            return Ok(());
-                        }
-                        if !came.is_empty() {
-                            self.reread = Some((now, 0));
-                        }
-                    }
-                    _ => self.ready(now, ready),
-                }
+            for ready in ready.iter().filter(|ready| ready.token.0 >= FIRST) {
+                self.ready(now, ready);
             }
             // Those who wait here have said something, if they ever will, before new ones push them out.
-            if callers {
+            if ready.iter().any(|ready| ready.token == LISTENER) {
                 self.accept(now);
             }
             self.keep(now);
@@ -171,10 +191,26 @@
         }
     }
 
+    /// Whether it is to stop.
+    fn told(&mut self, now: Moment) -> bool {
+        let came = self.signals.came();
+        if came.contains(&reactor::RELOAD) {
+            self.reread = Some((now, 0));
+        }
+        came.iter().any(|signal| *signal != reactor::RELOAD)
+    }
+
+    /// What was ordered and waits is pushed as far as it goes; a message that is cut takes no effect. Callers
+    /// that nobody has accepted are refused as the listener ends with the program.
+    fn stop(mut self) {
+        info!("told to stop");
+        self.connections.values_mut().for_each(|connection| _ = connection.push());
+    }
+
     fn wake_at(&self) -> Moment {
         let mut at = self.desk.wake_at().min(self.report_at);
-        if let Some((again, _)) = self.reread {
-            at = at.min(again);
+        for other in [self.reread.map(|(again, _)| again), self.listen_at].into_iter().flatten() {
+            at = at.min(other);
         }
         at
     }
@@ -192,46 +228,100 @@
 
     fn accept(&mut self, now: Moment) {
         // As many as there is room for when every stranger has given way.
-        let known = self.connections.values().filter(|connection| connection.known).count();
+        let known = self.connections.len() - self.strangers.len();
         let most = self.room().saturating_sub(known).clamp(1, 64);
-        let (accepted, error) = reactor::accept_at_most(&self.listener, most);
-        for stream in accepted {
-            if self.connections.len() >= self.room() && !self.evict() {
-                // All descriptors are held by proxies and collectors: this one comes to nothing.
-                self.counts.strangers += 1;
-                continue;
+        for _ in 0..most {
+            if self.connections.len() >= self.room() && !self.evict(now) {
+                if let Some(young) = self.strangers.first().and_then(|token| self.connections.get(token)) {
+                    return self.rest_listener(young.since + Span::from_seconds(YOUNG));
+                }
+                // All descriptors are held by proxies and collectors: who comes is sent elsewhere.
+                let (accepted, error) = reactor::accept_at_most(&self.listener, 1);
+                self.counts.strangers += accepted.len() as u64;
+                match (accepted.is_empty(), error) {
+                    (false, _) => continue,
+                    (true, None) => return,
+                    (true, Some(_)) => return self.rest_listener(now + Span::from_seconds(YOUNG)),
+                }
             }
+            let (accepted, error) = reactor::accept_at_most(&self.listener, 1);
+            if let Some(error) = error {
+                warn!(%error, connections = self.connections.len(), "connections wait");
+                if !self.evict(now) {
+                    self.rest_listener(now + Span::from_seconds(YOUNG));
+                }
+                return;
+            }
+            let Some(stream) = accepted.into_iter().next() else { return };
             let token = self.token();
             if let Err(error) = self.poll.add(&stream, Token(token), Interest::Edges) {
                 warn!(%error, "a connection can't be watched");
                 continue;
             }
             self.connections.insert(token, Connection::new(stream, now));
+            self.strangers.insert(token);
             self.read(now, token);
         }
-        if let Some(error) = error {
-            warn!(%error, connections = self.connections.len(), "connections wait");
-            self.evict();
+    }
+
+    /// Who waits to be accepted can wait; being told of them again and again would take all the time.
+    fn rest_listener(&mut self, until: Moment) {
+        match self.poll.remove(&self.listener) {
+            Ok(()) => self.listen_at = Some(until),
+            Err(error) => warn!(%error, "the listener can't be left alone"),
+        }
+    }
+
+    fn take_up_listener(&mut self, now: Moment) {
+        if self.listen_at.is_some_and(|at| now >= at) {
+            match self.poll.add(&self.listener, LISTENER, Interest::Readable) {
+                Ok(()) => self.listen_at = None,
+                Err(error) => warn!(%error, "the listener can't be watched"),
+            }
         }
     }
 
-    /// Ends the stranger that has been silent longest, where descriptors run out.
-    fn evict(&mut self) -> bool {
-        let oldest =
-            self.connections.iter().find(|(_, connection)| !connection.known).map(|(token, _)| *token);
-        oldest.and_then(|token| self.end_connection(token, "descriptors are short")).is_some()
+    /// Ends the stranger that has been silent longest, where descriptors run out; else a collector that a
+    /// newer one of its zone has come for. Whether there is room for one more.
+    fn evict(&mut self, now: Moment) -> bool {
+        let old = |connection: &Connection| now - connection.since >= Span::from_seconds(YOUNG);
+        while let Some(token) = self.strangers.first().copied() {
+            if !self.connections.get(&token).is_some_and(old) {
+                break;
+            }
+            if self.end(now, token, Ending::Evicted, "descriptors are short") {
+                return true;
+            }
+        }
+        let spare = self.desk.spare();
+        spare.is_some_and(|spare| self.end(now, spare.0, Ending::Replaced, "its zone has a newer collector"))
     }
 
-    fn end_connection(&mut self, token: u64, why: &str) -> Option<Connection> {
+    /// Ends a connection, and pays what is owed in that instant. Whether it has ended.
+    fn end(&mut self, now: Moment, token: u64, ending: Ending, why: &str) -> bool {
+        let owed = ending.owed();
+        if owed.look != LastLook::None {
+            self.read(now, token);
+            if owed.look == LastLook::Spares && !self.strangers.contains(&token) {
+                return !self.connections.contains_key(&token);
+            }
+        }
+        self.desk.closed(now, ConnectionId(token));
         self.again.remove(&token);
-        let connection = self.connections.remove(&token)?;
-        let (count, who) = match connection.known {
-            true => (&mut self.counts.lost, "stream"),
-            false => (&mut self.counts.strangers, "stranger"),
+        let stranger = self.strangers.remove(&token);
+        // The last look may have ended it.
+        let Some(connection) = self.connections.remove(&token) else { return true };
+        self.held -= connection.held();
+        let (count, who) = match stranger {
+            false => (&mut self.counts.lost, "stream"),
+            true => (&mut self.counts.strangers, "stranger"),
         };
         *count += 1;
-        debug!(token, why, who, "ended");
-        Some(connection)
+        debug!(token, why, who, ?ending, "ended");
+        if owed.reset {
+            reactor::reset(connection.stream);
+        }
+        true
     }
 
     fn ready(&mut self, now: Moment, ready: &Readiness) {
@@ -239,20 +329,31 @@
         if self.exchanges.contains_key(&token) {
             return self.answer(now, token);
         }
-        if ready.writable {
-            if let Some(Err(over)) = self.connections.get_mut(&token).map(Connection::push) {
-                return self.over(now, token, &over);
-            }
-        }
+        // What it said before it ended counts, so it is read before a write can fail.
         if ready.readable || ready.closed {
             self.read(now, token);
         }
+        if ready.writable {
+            self.write(now, token, &[]);
+        }
+    }
+
+    fn write(&mut self, now: Moment, token: u64, bytes: &[u8]) {
+        let Some(connection) = self.connections.get_mut(&token) else { return };
+        let before = connection.held();
+        let written = if bytes.is_empty() { connection.push() } else { connection.write(bytes) };
+        self.held = self.held + connection.held() - before;
+        match written {
+            Ok(()) => {}
+            Err(Over::Unread) => _ = self.end(now, token, Ending::Unread, &Over::Unread.to_string()),
+            Err(over) => _ = self.end(now, token, Ending::WriteFailed, &over.to_string()),
+        }
     }
 
     fn read(&mut self, now: Moment, token: u64) {
         let Some(mut connection) = self.connections.remove(&token) else { return };
-        let desk = &mut self.desk;
-        let counts = &mut self.counts;
+        let before = connection.held();
+        let (desk, counts, strangers) = (&mut self.desk, &mut self.counts, &mut self.strangers);
         let read = connection.read(&mut self.scratch, |connection| loop {
             let reply = match connection.reader.message()? {
                 Some(strings) => desk.message(now, ConnectionId(token), &strings),
@@ -260,40 +361,52 @@
             };
             match reply {
                 Reply::Nothing => {}
-                Reply::Known => connection.know(),
-                Reply::Pong => connection.write(b"*1\r\n$4\r\npong\r\n")?,
+                Reply::Known => {
+                    connection.know();
+                    strangers.remove(&token);
+                }
+                // Where it is gone already, what it said still counts; reading finds its end.
+                Reply::Pong => {
+                    if let Err(Over::Unread) = connection.write(b"*1\r\n$4\r\npong\r\n") {
+                        return Err(Over::Unread);
+                    }
+                }
                 Reply::Close(why) => {
                     counts.left_out += 1;
-                    debug!(token, why, "not taken");
-                    return Err(Over::Ended);
+                    return Err(Over::Refused(why));
                 }
             }
         });
+        self.held = self.held + connection.held() - before;
         self.connections.insert(token, connection);
-        match read {
-            Ok(true) => drop(self.again.insert(token)),
-            Ok(false) => {}
-            Err(over) => self.over(now, token, &over),
-        }
-    }
-
-    fn over(&mut self, now: Moment, token: u64, over: &Over) {
-        self.desk.closed(now, ConnectionId(token));
-        if let (Over::Unread, Some(connection)) = (over, self.end_connection(token, &over.to_string())) {
-            reactor::reset(connection.stream);
-        }
+        let ending = match &read {
+            Ok(more) => {
+                if *more {
+                    self.again.insert(token);
+                }
+                return;
+            }
+            Err(Over::Ended | Over::Failed(_)) => Ending::Ended,
+            Err(Over::Unreadable(_)) => Ending::Unreadable,
+            Err(Over::Refused(_)) => Ending::Refused,
+            Err(Over::Unread) => Ending::Flooded,
+        };
+        let why = read.err().map(|over| over.to_string()).unwrap_or_default();
+        self.end(now, token, ending, &why);
     }
 
     // ---- discovery and probes ----
 
     fn exchange(&mut self, now: Moment, address: SocketAddrV4, target: &str, purpose: Purpose) -> bool {
-        if self.exchanges.len() >= EXCHANGES {
+        if self.exchanges.len() >= if matches!(purpose, Purpose::Probe(_)) { PROBES } else { EXCHANGES } {
             return false;
         }
+        let (source, place) = (self.source, WatchPlace::from(self.desk.version()));
         let opened = Exchange::get(address, target).and_then(|exchange| {
             let token = self.token();
             self.poll.add(&exchange.stream, Token(token), Interest::Edges)?;
-            self.exchanges.insert(token, Open { exchange, purpose, since: now, heard: now, address });
+            let open = Open { exchange, purpose, since: now, heard: now, address, source, place };
+            self.exchanges.insert(token, open);
             Ok(())
         });
         if let Err(error) = &opened {
@@ -304,18 +417,26 @@
 
     fn answer(&mut self, now: Moment, token: u64) {
         let Some(open) = self.exchanges.get_mut(&token) else { return };
+        let came = open.exchange.came;
         let turned = open.exchange.turn(&mut self.scratch);
-        open.heard = now;
-        let lines = if open.purpose == Purpose::Watch && open.exchange.status == 200 {
-            open.exchange.lines()
-        } else {
-            Vec::new()
-        };
+        if open.exchange.came > came {
+            open.heard = now;
+        }
+        let watches = open.purpose == Purpose::Watch && open.exchange.status == 200;
+        let mut lines = if watches { open.exchange.lines() } else { Vec::new() };
+        // An answer may end with an object that no line's end follows. One that was cut is no JSON.
+        if watches && !matches!(turned, Ok(false)) && !open.exchange.carried.is_empty() {
+            lines.push(std::mem::take(&mut open.exchange.carried));
+        }
+        let refused = open.purpose == Purpose::Watch && !watches && open.exchange.status != 0;
         for line in lines {
-            self.listed(now, &line);
-            self.dial_wait = AGAIN.0;
+            if !self.watched(now, token, &line) {
+                return self.count_anew(now, token);
+            }
         }
         match turned {
+            // What a watch is answered other than by the list may go on for ever.
+            Ok(_) if refused => self.failed(now, token),
             Ok(false) => {}
             Ok(true) => self.answered(now, token),
             Err(error) => {
@@ -325,24 +446,69 @@
         }
     }
 
-    fn listed(&mut self, now: Moment, text: &[u8]) {
+    fn list(&self, text: &[u8]) -> Option<List> {
         let read = serde_json::from_slice(text).map_err(|error| error.to_string());
         match read.and_then(|value| List::read(&value, self.desk.names())) {
             Ok(list) => {
                 list.refused.iter().for_each(|why| warn!(why, "left out of the list"));
-                let taken = self.desk.list(now, &list, false);
-                debug!(version = list.version, full = list.full, count = list.entries.len(), taken, "list");
+                Some(list)
+            }
+            Err(why) => {
+                warn!(why, "list can't be read");
+                None
             }
-            Err(why) => warn!(why, "list can't be read"),
         }
     }
 
+    fn listed(&mut self, now: Moment, list: &List, source: SourceId) {
+        let taken = self.desk.list(now, list, source);
+        let (version, full, count) = (list.version, list.full, list.entries.len());
+        debug!(version, full, count, taken, source = source.0, "list");
+    }
+
+    /// An object of a watch. Whether it goes on from what was said on it before.
+    fn watched(&mut self, now: Moment, token: u64, line: &[u8]) -> bool {
+        let Some(list) = self.list(line) else { return true };
+        let Some(open) = self.exchanges.get_mut(&token) else { return true };
+        let (source, current) = (open.source, open.address == self.file.discovery);
+        if !open.place.follows(&list) {
+            return !current;
+        }
+        self.dial_wait = AGAIN.0;
+        self.listed(now, &list, source);
+        true
+    }
+
+    /// A watch has gone back to lower versions: changes by them mean nothing before the full list is known.
+    fn count_anew(&mut self, now: Moment, token: u64) {
+        info!("discovery counts anew");
+        self.exchanges.remove(&token);
+        self.source.0 += 1;
+        self.recount = self.ask_list(now);
+    }
+
+    fn ask_list(&mut self, now: Moment) -> bool {
+        let asked = self.exchange(now, self.file.discovery, "/catalog/members", Purpose::Read);
+        if !asked {
+            self.desk.no_list(now);
+        }
+        asked
+    }
+
     fn answered(&mut self, now: Moment, token: u64) {
+        let Some(open) = self.exchanges.get(&token) else { return };
+        if open.purpose == Purpose::Read && open.exchange.status != 200 {
+            return self.failed(now, token);
+        }
         let Some(open) = self.exchanges.remove(&token) else { return };
         match open.purpose {
-            Purpose::Read if open.exchange.status == 200 => self.listed(now, &open.exchange.carried),
-            Purpose::Read => self.desk.no_list(now),
-            Purpose::Watch => self.redial(now),
+            Purpose::Read => {
+                if let Some(list) = self.list(&open.exchange.carried) {
+                    self.listed(now, &list, open.source);
+                }
+                self.read_ended(open.source);
+            }
+            Purpose::Watch => self.watch_ended(now, open.address),
             Purpose::Probe(node) => {
                 let text = String::from_utf8_lossy(&open.exchange.carried);
                 let load = load_of(&text, '=', self.desk.names()).unwrap_or_default();
@@ -354,12 +520,27 @@
     fn failed(&mut self, now: Moment, token: u64) {
         let Some(open) = self.exchanges.remove(&token) else { return };
         match open.purpose {
-            Purpose::Read => self.desk.no_list(now),
-            Purpose::Watch => self.redial(now),
+            Purpose::Read => {
+                self.desk.no_list(now);
+                self.read_ended(open.source);
+            }
+            Purpose::Watch => self.watch_ended(now, open.address),
             Purpose::Probe(node) => self.desk.probed(now, node, false, now - open.since, Vec::new()),
         }
     }
 
+    /// The watch may be dialled now, from whatever version stands.
+    fn read_ended(&mut self, source: SourceId) {
+        self.recount &= source != self.source;
+    }
+
+    /// The end of a watch at a place that discovery has left holds up no other.
+    fn watch_ended(&mut self, now: Moment, address: SocketAddrV4) {
+        if address == self.file.discovery {
+            self.redial(now);
+        }
+    }
+
     fn redial(&mut self, now: Moment) {
         self.dial_at = now + Span::from_seconds(self.dial_wait);
         self.dial_wait = (self.dial_wait * 2.0).min(AGAIN.1);
@@ -369,46 +550,60 @@
 
     fn keep(&mut self, now: Moment) {
         let late = |since: Moment, seconds: f64| now - since > Span::from_seconds(seconds);
-        let strange = self
-            .connections
-            .iter()
-            .filter(|(_, connection)| !connection.known && late(connection.since, STRANGER));
-        for token in strange.map(|(token, _)| *token).collect::<Vec<_>>() {
-            self.end_connection(token, "it has not said who it is");
+        let strange = |token: &u64| self.connections.get(token).is_some_and(|one| late(one.since, STRANGER));
+        let strangers: Vec<u64> = self.strangers.iter().copied().take_while(strange).collect();
+        for token in strangers {
+            self.end(now, token, Ending::Late, "it has not said who it is");
+        }
+        for silent in self.desk.silent(now) {
+            self.read(now, silent.0);
         }
         // Who reads slowly may cost memory, but not all of it.
-        let held: usize = self.connections.values().map(Connection::held).sum();
-        if held as f64 > self.file.memory as f64 * BUFFERS {
-            let largest = self
-                .connections
-                .iter()
-                .max_by_key(|(_, connection)| connection.held())
-                .map(|(token, _)| *token);
-            largest.into_iter().for_each(|token| self.over(now, token, &Over::Unread));
-        }
-        let silent = self.exchanges.iter().filter(|(_, open)| match open.purpose {
+        if self.held as f64 > self.file.memory as f64 * BUFFERS {
+            let largest = self.connections.iter().max_by_key(|(_, one)| one.held()).map(|(token, _)| *token);
+            largest
+                .into_iter()
+                .for_each(|token| _ = self.end(now, token, Ending::Crowded, "buffers are full"));
+        }
+        self.take_up_listener(now);
+        self.keep_exchanges(now);
+        if let Some((at, tries)) = self.reread.filter(|(at, _)| now >= *at) {
+            self.reload(now, at, tries);
+        }
+        self.keep_watch(now);
+        if now >= self.report_at {
+            self.report(now);
+        }
+    }
+
+    fn keep_exchanges(&mut self, now: Moment) {
+        let late = |since: Moment, seconds: f64| now - since > Span::from_seconds(seconds);
+        let silent = |open: &Open| match open.purpose {
             Purpose::Watch if open.exchange.status == 0 => late(open.since, LIST),
             Purpose::Watch => late(open.heard, WATCH),
             Purpose::Read => late(open.since, LIST),
             Purpose::Probe(_) => late(open.since, PROBE),
-        });
-        for token in silent.map(|(token, _)| *token).collect::<Vec<_>>() {
-            debug!("an exchange is not answered");
-            self.failed(now, token);
+        };
+        let over = self.exchanges.iter().filter(|(_, open)| silent(open)).map(|(token, _)| *token);
+        for token in over.collect::<Vec<_>>() {
+            // What has come and was not read yet is none too late.
+            self.answer(now, token);
+            if self.exchanges.get(&token).is_some_and(silent) {
+                debug!("an exchange is not answered");
+                self.failed(now, token);
+            }
         }
+    }
+
+    fn keep_watch(&mut self, now: Moment) {
         let address = self.file.discovery;
         let watches = |open: &Open| open.purpose == Purpose::Watch && open.address == address;
-        if now >= self.dial_at && !self.exchanges.values().any(watches) {
+        if now >= self.dial_at && !self.recount && !self.exchanges.values().any(watches) {
             let from = self.desk.version().map(|version| format!("&from={version}")).unwrap_or_default();
             self.redial(now);
+            self.source.0 += 1;
             self.exchange(now, address, &format!("/catalog/members?watch=1{from}"), Purpose::Watch);
         }
-        if let Some((at, tries)) = self.reread.filter(|(at, _)| now >= *at) {
-            self.reload(now, at, tries);
-        }
-        if now >= self.report_at {
-            self.report(now);
-        }
     }
 
     /// Takes a new configuration. The file may be half written: the old one stands until it can be read.
@@ -421,10 +616,14 @@
         match taken {
             Ok(file) => {
                 info!(discovery = %file.discovery, "configuration taken");
-                if file.discovery != self.file.discovery {
-                    (self.dial_at, self.dial_wait) = (now, AGAIN.0);
-                }
+                let moved = file.discovery != self.file.discovery;
                 (self.file, self.reread) = (file, None);
+                if moved {
+                    // Elsewhere versions may be others: the full list is asked for beside the watch.
+                    (self.dial_at, self.dial_wait, self.recount) = (now, AGAIN.0, false);
+                    self.keep_watch(now);
+                    self.ask_list(now);
+                }
             }
             Err(why) if tries < REREAD.1 => {
                 debug!(why, "configuration not taken yet");
@@ -440,7 +639,7 @@
     fn report(&mut self, now: Moment) {
         self.report_at = now + Span::from_seconds(REPORT);
         let Counts { strangers, left_out, lost } = std::mem::take(&mut self.counts);
-        let buffers: usize = self.connections.values().map(Connection::held).sum();
+        let buffers = self.held;
         info!(
             proxies = self.desk.proxies(),
             connections = self.connections.len(),
@@ -458,19 +657,9 @@
 
     fn carry_out(&mut self, now: Moment, out: Out) {
         match out {
-            Out::Write { connection, bytes } => {
-                if let Some(Err(over)) =
-                    self.connections.get_mut(&connection.0).map(|connection| connection.write(&bytes))
-                {
-                    self.over(now, connection.0, &over);
-                }
-            }
-            Out::Close { connection, why } => drop(self.end_connection(connection.0, why)),
-            Out::ReadList => {
-                if !self.exchange(now, self.file.discovery, "/catalog/members", Purpose::Read) {
-                    self.desk.no_list(now);
-                }
-            }
+            Out::Write { connection, bytes } => self.write(now, connection.0, &bytes),
+            Out::Close { connection, why } => _ = self.end(now, connection.0, Ending::Replaced, why),
+            Out::ReadList => _ = self.ask_list(now),
             Out::Probe { node, address } => {
                 let target = if self.file.names.fields.is_empty() { "/ping" } else { "/_load" };
                 if !self.exchange(now, address, target, Purpose::Probe(node)) {
@@ -484,3 +673,30 @@
         }
     }
 }
+
+/// Listens. The conductor before this one may still be ending, and holds the address until it has.
+fn bind(
+    poll: &mut Poll,
+    signals: &Signals,
+    reload: &mut bool,
+    address: SocketAddrV4,
+) -> Result<TcpListener, NoStart> {
+    let mut tries = 0;
+    loop {
+        let error = match reactor::listen(address) {
+            Ok(listener) => return Ok(listener),
+            Err(error) => error,
+        };
+        if error.kind() != io::ErrorKind::AddrInUse || tries >= REBIND.1 {
+            return Err(NoStart::Io { what: address.to_string(), error });
+        }
+        tries += 1;
+        let waited = poll.wait(Span::from_seconds(REBIND.0), &mut Vec::new());
+        waited.map_err(|error| NoStart::Io { what: "epoll".to_string(), error })?;
+        let came = signals.came();
+        *reload |= came.contains(&reactor::RELOAD);
+        if came.iter().any(|signal| *signal != reactor::RELOAD) {
+            return Err(NoStart::Told);
+        }
+    }
+}
