--- a/crates/orders/src/membership.rs
+++ b/crates/orders/src/membership.rs
@@ -54,6 +54,13 @@
         WatchPlace { version, spoke: false }
     }
 
+    /// The full list has come another way, before the watch said anything.
+    pub fn told(&mut self, list: &List) {
+        if !self.spoke {
+            self.version = Some(list.version);
+        }
+    }
+
     /// Whether this goes on from there; the first answer may be a full list of any version.
     pub fn follows(&mut self, list: &List) -> bool {
         let fits = self.version.is_none_or(|version| list.version >= version) || (list.full && !self.spoke);
--- a/crates/platform/src/service.rs
+++ b/crates/platform/src/service.rs
@@ -505,6 +505,11 @@
             Purpose::Read => {
                 if let Some(list) = self.list(&open.exchange.carried) {
                     self.listed(now, &list, open.source);
+                    // What the watch beside it says next goes on from here.
+                    let beside =
+                        |other: &&mut Open| other.purpose == Purpose::Watch && other.source == open.source;
+                    let watch = self.exchanges.values_mut().find(beside);
+                    watch.into_iter().for_each(|watch| watch.place.told(&list));
                 }
                 self.read_ended(open.source);
             }
@@ -690,6 +695,9 @@
         if error.kind() != io::ErrorKind::AddrInUse || tries >= REBIND.1 {
             return Err(NoStart::Io { what: address.to_string(), error });
         }
+        if tries == 0 {
+            warn!(%address, "the address is still held");
+        }
         tries += 1;
         let waited = poll.wait(Span::from_seconds(REBIND.0), &mut Vec::new());
         waited.map_err(|error| NoStart::Io { what: "epoll".to_string(), error })?;
