--- a/crates/cli/tests/endings.rs
+++ b/crates/cli/tests/endings.rs
@@ -144,6 +144,22 @@
     late.until("s1:0");
 }
 
+#[test]
+fn a_peer_that_asks_and_never_reads_is_reset_and_costs_nobody_else() {
+    let agent = Agent::start(objects(&["s1", "s2"]));
+    let platform = Platform::start(agent.address, 64);
+    let mut other = joined(&platform, 1);
+    let mut flood = joined(&platform, 2);
+    let pings = bytes("ping").repeat(1000);
+    // What the kernel holds for it is some megabytes; what waits for it in the conductor is bounded.
+    let cut = (0..10_000).find(|_| flood.stream.write_all(&pings).is_err());
+    assert!(cut.is_some(), "it was never reset");
+    ping(&mut other);
+    agent.say(list(6, false, &[("s1", DRAINS)]));
+    other.until("s1:0");
+    joined(&platform, 2);
+}
+
 // ---- descriptors ----
 
 #[test]
