--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -6,7 +6,7 @@
 pub mod keys;
 
 use std::fs::File;
-use std::net::{Ipv4Addr, SocketAddrV4, TcpListener};
+use std::net::SocketAddrV4;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::{Duration, Instant};
@@ -39,8 +39,7 @@
 impl Stage {
     pub fn new() -> Stage {
         let directory = tempfile::tempdir().expect("a directory");
-        let free = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port");
-        let std::net::SocketAddr::V4(listen) = free.local_addr().expect("bound") else { panic!("IPv4") };
+        let listen = wheelspread_drill::own_port().expect("a port");
         let stage = Stage { directory, listen, child: None, version: 0 };
         stage.write_file("list: nodes.json");
         stage
--- a/crates/cli/tests/common/platform.rs
+++ b/crates/cli/tests/common/platform.rs
@@ -159,9 +159,7 @@
 
     /// A place and a configuration; nothing runs yet.
     pub fn prepare(discovery: SocketAddr, sockets: usize) -> Platform {
-        let free = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port");
-        let listen = free.local_addr().expect("bound");
-        drop(free);
+        let listen = wheelspread_drill::own_port().expect("a port").into();
         let directory = tempfile::tempdir().expect("a directory");
         let platform = Platform { directory, listen, child: None };
         platform.configure(discovery, sockets, 3.0);
--- a/crates/cli/tests/proxy.rs
+++ b/crates/cli/tests/proxy.rs
@@ -36,9 +36,7 @@
 }
 
 fn free() -> SocketAddrV4 {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port");
-    let std::net::SocketAddr::V4(address) = listener.local_addr().expect("bound") else { panic!("IPv4") };
-    address
+    wheelspread_drill::own_port().expect("a port")
 }
 
 impl Stage {
--- a/crates/drill/src/lib.rs
+++ b/crates/drill/src/lib.rs
@@ -17,5 +17,5 @@
 pub use audit::{judge, Judged, RuleJudged, Verdict};
 pub use even::Sabotage;
 pub use records::{Record, Records};
-pub use run::{cpu_of, free_port, run, DrillError, Options, Report};
+pub use run::{cpu_of, free_port, own_port, run, DrillError, Options, Report};
 pub use script::{Script, Trouble, TroubleKind, BUILT_IN};
--- a/crates/drill/src/run.rs
+++ b/crates/drill/src/run.rs
@@ -199,7 +199,7 @@
 /// A place to listen for a conductor that starts later. Each process has a loopback address of its own and
 /// names no port twice: on the common address a drill beside this one, or any connection that was dialled
 /// meanwhile, took the port now and then, and the conductor could not start.
-fn own_port() -> io::Result<SocketAddrV4> {
+pub fn own_port() -> io::Result<SocketAddrV4> {
     static NAMED: Mutex<BTreeSet<u16>> = Mutex::new(BTreeSet::new());
     let [_, high, middle, low] = std::process::id().to_be_bytes();
     let address = Ipv4Addr::new(127, 64 | (high & 63), middle, low.clamp(1, 254));
