--- a/crates/wheelspread/src/balance.rs
+++ b/crates/wheelspread/src/balance.rs
@@ -889,8 +889,8 @@
             && self.outstanding() <= WAITING.0 * self.fact("channel.lines_waiting_at_most")
     }
 
-    /// Whether lines may be written at all. Drained nodes leave at once, but where one after another drains each
-    /// by itself once took more messages than a proxy may get.
+    /// Whether lines may be written at all. Drained nodes leave at once, but where one after another drains
+    /// each by itself took more messages than a proxy may get.
     fn may_change(&self) -> bool {
         let spacing = self.spacing(URGENT);
         self.may_write(1.0) && self.channel.last_lines.is_none_or(|at| self.now - at >= spacing)
@@ -1029,7 +1029,7 @@
         for id in self.joins.clone() {
             let Some(proxy) = self.proxies.get(&id) else { continue };
             let own: Vec<_> = self.tables.iter().filter(|(_, table)| table.serves(id, proxy)).collect();
-            // One without lines is bound beside others: it is told of nodes that come, and holds none that went.
+            // One without lines is bound beside others: to hear of nodes that come, and hold none that went.
             let bare = own.iter().all(|(_, table)| table.lines.is_empty());
             let lines = self.message_lines(own.iter().map(|(_, t)| 1 + t.lines.len() + t.levels.len()).sum());
             if bare || sum + lines > limit {
