--- a/review/standins/platform_day.py
+++ b/review/standins/platform_day.py
@@ -405,7 +405,7 @@
         log = open(os.path.join(self.day.folder, f"{self.name}.log"), "ab")
         self.process = await asyncio.create_subprocess_exec(
             "/bin/sh", "-c", self.day.run_command, cwd=self.day.root, env=environment, stdin=asyncio.subprocess.DEVNULL,
-            stdout=log, stderr=log, start_new_session=True)
+            stdout=log, stderr=log)
         log.close()
         self.day.record("run", f"{self.name}: {self.day.run_command} (pid {self.process.pid})")
         host, port = self.listen.split(":")
