--- a/review/standins/platform_day.py
+++ b/review/standins/platform_day.py
@@ -17,6 +17,8 @@
 import time
 import tomllib
 
+import guard
+
 START = time.time()
 
 
@@ -377,7 +379,7 @@
         self.discovery = None
         self.collectors = {}
         self.list = {}  # what discovery has sent to the agent
-        self.met = {}  # (zone, node) -> failures, sum of the times of the others, their number
+        self.met = {}  # (zone, node) -> failures, sum of the times of the others, their number, since when
         self.garble = None
 
     async def start_agent(self):
@@ -406,6 +408,7 @@
         self.process = await asyncio.create_subprocess_exec(
             "/bin/sh", "-c", self.day.run_command, cwd=self.day.root, env=environment, stdin=asyncio.subprocess.DEVNULL,
             stdout=log, stderr=log)
+        guard.add(self.process)
         log.close()
         self.day.record("run", f"{self.name}: {self.day.run_command} (pid {self.process.pid})")
         host, port = self.listen.split(":")
@@ -509,7 +512,7 @@
     # Collectors.
 
     def met_sum(self, zone, node):
-        return self.met.setdefault((zone, node), [0, 0.0, 0])
+        return self.met.setdefault((zone, node), [0, 0.0, 0, now()])
 
     async def collect(self, zone):
         while True:
@@ -639,31 +642,38 @@
         return 1 / rate if self.steady else self.rng.expovariate(rate)
 
     async def reports(self):
-        """Each period, sums of what proxies met, and the requests that came, some time later."""
+        """Each period, sums of what proxies met, and the requests that came, some time later. A controller is given a
+        number of lines a second at most, the oldest first; the rest adds up."""
         period = self.settings["extra"]["period"]
+        most = int(self.settings["extra"]["hears_per_s"] * period)
         loop = asyncio.get_running_loop()
+        usage_since = {proxy.number: {name: now() for name in proxy.usage} for proxy in self.proxies}
         while True:
             await asyncio.sleep(period)
             t = now()
             for controller in self.controllers:
-                met, controller.met = controller.met, {}
-                for (zone, name), (bad, total, good) in met.items():
-                    n = bad + good
-                    words = ["heard", "az", zone, "host", name, "n", n, "bad", bad]
+                lines = [(entry[3], "heard", key) for key, entry in controller.met.items()]
+                lines += [(usage_since[proxy.number][name], "usage", (proxy, name)) for proxy in self.proxies
+                          if proxy.controller is controller for name, count in proxy.usage.items() if count]
+                for since, kind, key in sorted(lines, key=lambda line: line[0])[:most]:
+                    window = round(max(period, t - since) * 1000, 1)
+                    late = self.rng.uniform(*self.report_delay)
+                    if kind == "usage":
+                        proxy, name = key
+                        words = ["usage", "sidecar", proxy.number, "kind", name, "n", proxy.usage[name], "bad", 0,
+                                 "window", window]
+                        proxy.usage[name], usage_since[proxy.number][name] = 0, t
+                        loop.call_later(late, proxy.send, words)
+                        continue
+                    bad, total, good, _ = controller.met.pop(key)
+                    words = ["heard", "az", key[0], "host", key[1], "n", bad + good, "bad", bad]
                     if good:
                         words += ["avg", round(total / good * 1000, 1)]
-                    words += ["window", round(period * 1000, 1)]
-                    node = self.nodes.get(name)
+                    words += ["window", window]
+                    node = self.nodes.get(key[1])
                     if good and node is not None and node.running:
                         words += ["report", f"util:{node.utilization(t, 1.0):.3f}"]
-                    loop.call_later(self.rng.uniform(*self.report_delay), self.send_heard, controller, zone, words)
-            for proxy in self.proxies:
-                for name, count in proxy.usage.items():
-                    if count:
-                        words = ["usage", "sidecar", proxy.number, "kind", name, "n", count, "bad", 0, "window",
-                                 round(period * 1000, 1)]
-                        loop.call_later(self.rng.uniform(*self.report_delay), proxy.send, words)
-                    proxy.usage[name] = 0
+                    loop.call_later(late, self.send_heard, controller, key[0], words)
 
     @staticmethod
     def send_heard(controller, zone, words):
@@ -698,14 +708,7 @@
             proxy.stop = True
         for task in self.tasks:
             task.cancel()
-        for controller in self.controllers:
-            if controller.process and controller.process.returncode is None:
-                controller.process.send_signal(signal.SIGTERM)
-                try:
-                    await asyncio.wait_for(controller.process.wait(), 3)
-                except asyncio.TimeoutError:
-                    controller.process.kill()
-                    await controller.process.wait()
+        await guard.end_children()
 
     def verdict(self, rules):
         for controller in self.controllers:
@@ -719,28 +722,20 @@
         return 1 if broken else 0
 
 
-def play(day, run, rules):
-    """Plays a day and returns the exit code: 1 if one of these rules was broken, 2 if the day couldn't be played."""
-
-    async def whole():
-        try:
-            await run(day)
-            crashed = day.crashed()
-        finally:
-            await day.end()
-        if crashed:
-            day.breach("crash", f"{', '.join(crashed)} ended")
-        return day.verdict(rules + ["crash"])
-
+async def play(day, run, rules):
+    """Plays a day and returns the exit code: 1 if one of these rules was broken."""
     try:
-        code = asyncio.run(whole())
-    except Exception as error:  # the day could not be played
-        print(f"could not run: {error!r}")
-        code = 2
-    day.record("exit", str(code))
-    day.record.close()
-    shutil.rmtree(day.folder, ignore_errors=True)
-    return code
+        await run(day)
+        crashed = day.crashed()
+        await day.end()
+        if crashed:
+            raise RuntimeError(f"{', '.join(crashed)} ended")
+        code = day.verdict(rules)
+        day.record("exit", str(code))
+        return code
+    finally:
+        day.record.close()
+        shutil.rmtree(day.folder, ignore_errors=True)
 
 
 def deploy_run(root):
