--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -467,6 +467,7 @@
         self.heard = {}
         self.behaviour = {}                       # node -> function of a send: (failed, latency)
         self.default = lambda *_: (False, 0.2)
+        self.spoil = lambda fields: fields        # what becomes of a collector's report on its way
         self.report_delay = lambda: self.rng.uniform(0.43, 0.9)
         self.delay = lambda: self.rng.uniform(0.5, 1.5) * self.settings["extra"]["push_delay"]
 
@@ -533,7 +534,7 @@
                         load = self.load_report(node, n / period)
                         if load:
                             fields += ["report", load]
-                        writer.write(encode(fields))
+                        writer.write(encode(self.spoil(fields)))
                     await writer.drain()
             except (OSError, ConnectionError):
                 await asyncio.sleep(0.3)
