--- a/review/lib-2/hall.py
+++ b/review/lib-2/hall.py
@@ -35,12 +35,12 @@
 """
 
 
-async def start(record, seed, north=2, south=4):
+async def start(record, seed, north=2, south=4, kinds=("three-core", "two-core")):
     """A running deployment whose first hall has `north` hosts, all warm."""
     rng = random.Random(seed)
     world = product.Deployment(record, CONTROLLER)
     for index in range(north + south):
-        await world.add_node(ZONES[0] if index < north else ZONES[1], ["three-core", "two-core"][index % 2])
+        await world.add_node(ZONES[0] if index < north else ZONES[1], kinds[index % len(kinds)])
     world.write_list(world.nodes)
     with open(world.path("fleet.yaml"), "w") as file:
         file.write(FLEET)
