--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""Nodes are replaced while some reports arrive with a count that is out of range."""
+"""Nodes are replaced while some reports of one node arrive with a count that is out of range."""
 
 import asyncio
 import os
@@ -12,7 +12,7 @@
 SEED = 8
 NODES, PROXIES = 12, 12
 REPLACED, WITHIN = 7, 7.0
-SPOILT_PART, SPOILT_COUNT = 0.12, 400000
+SPOILT_NODE, SPOILT_COUNT = "s-0000000b", 400000  # every second report of this node, an r3-slow one that stays
 LOAD = 0.6                                        # of what all nodes can do
 CORES = {"r3-fast": 3 * 1.6, "r2-std": 2 * 0.98, "r3-slow": 3 * 0.6}
 SPEED = {"r3-fast": 1.6, "r2-std": 0.98, "r3-slow": 0.6}
@@ -98,13 +98,16 @@
     deadline = SETTINGS["classes"][0]["deadline"]
     world.load_report, world.on_send = load.report, sent
     world.default = lambda *_: (now_at["latency"] > deadline, now_at["latency"])
-    spoilt = [0, 0]
+    counts = {"reports": 0, "of the node": 0, "spoilt": 0}
 
     def spoil(fields):
-        spoilt[1] += 1
-        if world.rng.random() >= SPOILT_PART:
+        counts["reports"] += 1
+        if fields[fields.index("host") + 1] != SPOILT_NODE:
             return fields
-        spoilt[0] += 1
+        counts["of the node"] += 1
+        if counts["of the node"] % 2:
+            return fields
+        counts["spoilt"] += 1
         fields = list(fields)
         fields[fields.index("n") + 1] = SPOILT_COUNT
         record.write(f"spoilt report: {' '.join(map(str, fields))}")
@@ -112,13 +115,14 @@
 
     try:
         await world.start(1, [zones[number % 2] for number in range(PROXIES)], (0.44, 2.2))
-        await asyncio.sleep(10)
+        await asyncio.sleep(5)
         if trouble:
             world.spoil = spoil
+        await asyncio.sleep(5)
         await replace(world)
         await asyncio.sleep(15)
-        record.write(f"{spoilt[0]} of {spoilt[1]} reports were spoilt; the most that a cold node was sent is "
-                     f"{world.audit.coldest:.2f} of what it may be sent")
+        record.write(f"reports: {counts}; the most that a cold node was sent is {world.audit.coldest:.2f} of what it "
+                     "may be sent")
         return world.audit.broken
     finally:
         await world.close()
