--- a/review/lib-2/hall.py
+++ b/review/lib-2/hall.py
@@ -39,18 +39,22 @@
     """A running deployment whose first hall has `north` hosts, all warm."""
     rng = random.Random(seed)
     world = product.Deployment(record, CONTROLLER.replace("GRACE", grace))
-    for index in range(north + south):
-        await world.add_node(ZONES[0] if index < north else ZONES[1], kinds[index % len(kinds)])
-    world.write_list(world.nodes)
-    with open(world.path("fleet.yaml"), "w") as file:
-        file.write(FLEET)
-    await world.start_controller()
-    for number in range(6):
-        name = f"gateway-{number}"
-        await world.start_proxy(name, ZONES[number % 2], OPERATIONS)
-        world.spawn(world.client(name, "quote", 5.0, rng))
-        world.spawn(world.client(name, "tour-plan", 4.0, rng))
-    await asyncio.sleep(4)
+    try:
+        for index in range(north + south):
+            await world.add_node(ZONES[0] if index < north else ZONES[1], kinds[index % len(kinds)])
+        world.write_list(world.nodes)
+        with open(world.path("fleet.yaml"), "w") as file:
+            file.write(FLEET)
+        await world.start_controller()
+        for number in range(6):
+            name = f"gateway-{number}"
+            await world.start_proxy(name, ZONES[number % 2], OPERATIONS)
+            world.spawn(world.client(name, "quote", 5.0, rng))
+            world.spawn(world.client(name, "tour-plan", 4.0, rng))
+        await asyncio.sleep(4)
+    except BaseException:
+        await world.close()
+        raise
     return world
 
 
--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -709,9 +709,17 @@
     record = Record(os.path.join(folder, "record.txt"))
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write(f"case {os.path.basename(folder)}, disruption: {'yes' if trouble else 'no'}")
+
+    async def bounded():
+        task = asyncio.ensure_future(run(record, trouble))
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+        return await asyncio.wait_for(task, 115)
+
     try:
-        broken = asyncio.run(asyncio.wait_for(run(record, trouble), 115))
-    except Exception as error:  # whatever keeps the case from running says nothing about the rule
+        broken = asyncio.run(bounded())
+    # Whatever keeps the case from running, a signal too, says nothing about the rule.
+    except (Exception, asyncio.CancelledError) as error:
         record.write(f"could not run: {error!r}")
         print(f"could not run: {error!r}")
         record.close()
