--- a/review/6/case.py
+++ b/review/6/case.py
@@ -10,14 +10,14 @@
 import standins  # noqa: E402
 
 SEED = 8
-NODES, PROXIES = 12, 12
-REPLACED, WITHIN = 7, 7.0
+PROXIES = 12
+REPLACED, DRAINS_WITHIN, DRAINS_FOR = 8, 2.8, 4.0  # of 14 nodes; the last one ends 6.8 s after the first began to drain
 SPOILT_NODE, SPOILT_COUNT = "s-0000000b", 400000  # every second report of this node, an r3-slow one that stays
 LOAD = 0.6                                        # of what all nodes can do
 CORES = {"r3-fast": 3 * 1.6, "r2-std": 2 * 0.98, "r3-slow": 3 * 0.6}
 SPEED = {"r3-fast": 1.6, "r2-std": 0.98, "r3-slow": 0.6}
 KINDS = ["r3-fast", "r2-std", "r3-fast", "r3-slow", "r2-std", "r3-fast", "r3-slow", "r2-std", "r3-fast", "r2-std",
-         "r3-fast", "r3-slow"]
+         "r3-fast", "r3-slow", "r2-std", "r3-fast"]
 WORK = 0.27
 SHARES = {"status-check": 0.65, "alarm-ack": 0.35}
 
@@ -134,16 +134,19 @@
     order = sorted(world.nodes, key=lambda name: (zones.index(world.nodes[name]["zone"]), name))
     begin = time.time()
     for index, name in enumerate(order[:REPLACED]):
-        await asyncio.sleep(max(0.0, begin + index * WITHIN / (REPLACED - 1) - time.time()))
+        await asyncio.sleep(max(0.0, begin + index * DRAINS_WITHIN / (REPLACED - 1) - time.time()))
         world.tell([world.change(name, "Terminating")])
         world.spawn(finish(world, name, index))
 
 
 async def finish(world, name, index):
-    await asyncio.sleep(world.rng.uniform(0.4, 2.0))
-    old = world.nodes[name]
-    world.tell([world.node(f"n-{index:08x}", old["zone"], old["type"], since=time.time() - 0.4)])
-    await asyncio.sleep(3.5)
+    """A successor starts within 1.5 s and is told 0.4 s after its start; the old node is told gone at its end."""
+    begin = time.time()
+    await asyncio.sleep(world.rng.uniform(0.0, 1.5))
+    old, since = world.nodes[name], time.time()
+    await asyncio.sleep(0.4)
+    world.tell([world.node(f"n-{index:08x}", old["zone"], old["type"], since=since)])
+    await asyncio.sleep(max(0.0, begin + DRAINS_FOR - time.time()))
     world.tell([world.change(name, "Gone")])
 
 
