--- a/review/6/case.py
+++ b/review/6/case.py
@@ -123,6 +123,9 @@
         await asyncio.sleep(15)
         record.write(f"reports: {counts}; the most that a cold node was sent is {world.audit.coldest:.2f} of what it "
                      "may be sent")
+        for controller in world.controllers:
+            if controller.has_crashed():
+                raise standins.CannotRun(f"{controller.name} exited with {controller.process.returncode}")
         return world.audit.broken
     finally:
         await world.close()
--- a/review/lib-2/product.py
+++ b/review/lib-2/product.py
@@ -185,6 +185,12 @@
         self.record.write(f"operator: {' '.join(arguments)} -> {process.returncode}: {text}")
         return process.returncode, text
 
+    def check_alive(self):
+        """A program that ended on the way makes the outcome worthless."""
+        for name, process in self.processes.items():
+            if process.poll() is not None:
+                raise CannotRun(f"{name} exited with {process.returncode}")
+
     async def close(self):
         for name, process in self.processes.items():
             if process.poll() is not None:
