Log the capacity estimate of each kind of node on a platform

Change: a line `capacity estimate` for each kind follows `status`; the balancer and the platform core give the estimates.

--- a/crates/platform-core/src/controller_core.rs
+++ b/crates/platform-core/src/controller_core.rs
@@ -14,10 +14,10 @@
 use silence::LatencyHistory;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
-use wheelspread::ids::{NodeId, ProxyId, TimerId, ZoneId};
+use wheelspread::ids::{KindId, NodeId, ProxyId, TimerId, ZoneId};
 use wheelspread::settings::Settings;
 use wheelspread::time::{Moment, Span};
-use wheelspread::{Action, Balancer, ConfigError, EndpointListKind, Event};
+use wheelspread::{Action, Balancer, ConfigError, EndpointListKind, Event, KindEstimate};
 use wheelspread_settings::Names;
 
 /// Interval between two searches for silent streams and unused node names.
@@ -176,6 +176,15 @@
         self.streams.len()
     }
 
+    /// The name and the estimate of each kind of node.
+    pub fn kind_estimates(&self) -> impl Iterator<Item = (&str, KindEstimate)> + '_ {
+        let named = |(kind, estimate): (KindId, KindEstimate)| {
+            let name = self.names.kinds.get(usize::from(kind.0))?;
+            Some((name.as_str(), estimate))
+        };
+        self.balancer.kind_estimates().filter_map(named)
+    }
+
     /// The version of the current endpoint list.
     pub fn endpoint_list_version(&self) -> Option<u64> {
         self.membership.version()
--- a/crates/platform/src/service/report.rs
+++ b/crates/platform/src/service/report.rs
@@ -64,5 +64,10 @@
             buffer_bytes = self.connections.buffer_bytes(),
             "status"
         );
+        for (kind, estimate) in self.core.kind_estimates() {
+            let capacity = estimate.capacity;
+            let peak_observed_rate = estimate.peak_observed_rate;
+            info!(kind, capacity, peak_observed_rate, "capacity estimate");
+        }
     }
 }
--- a/crates/wheelspread/src/balancer.rs
+++ b/crates/wheelspread/src/balancer.rs
@@ -6,12 +6,12 @@
 //! `docs/design.md` explains the design.
 
 use crate::admission::Admission;
-use crate::capacity::CapacitySnapshot;
+use crate::capacity::{CapacitySnapshot, KindEstimate};
 use crate::config::Config;
 use crate::error::{ConfigError, EventError};
 use crate::event::{EndpointEntry, EndpointListKind, Event};
 use crate::fleet::Fleet;
-use crate::ids::{NodeId, OperationId, ProxyId, TimerId};
+use crate::ids::{KindId, NodeId, OperationId, ProxyId, TimerId};
 use crate::lifecycle::{LifecycleInput, Measurements};
 use crate::locality::target_shares;
 use crate::node_load::LoadReport;
@@ -108,6 +108,11 @@
         self.fleet.capacity.snapshots(&self.fleet.nodes)
     }
 
+    /// The estimate of each kind of node, for the host's log.
+    pub fn kind_estimates(&self) -> impl Iterator<Item = (KindId, KindEstimate)> + '_ {
+        self.fleet.capacity.kind_estimates()
+    }
+
     /// Handles an event. An event that is rejected with an error changes no estimate.
     pub fn handle_event(&mut self, now: Moment, event: &Event) -> Result<(), EventError> {
         self.fleet.now = now;
--- a/crates/wheelspread/src/capacity.rs
+++ b/crates/wheelspread/src/capacity.rs
@@ -97,12 +97,12 @@
 }
 
 /// Mean values of the ready nodes of one kind, per unit of listed weight.
-#[derive(Clone, Copy, Debug)]
-struct KindEstimate {
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct KindEstimate {
     /// Requests per second that a ready node can serve.
-    capacity: f64,
+    pub capacity: f64,
     /// Peak observed rate of a ready node, in requests per second; `None`: no rate was observed in the fleet.
-    peak_observed_rate: Option<f64>,
+    pub peak_observed_rate: Option<f64>,
 }
 
 /// Capacity and latency of each kind of node, and the fleet's latency.
@@ -183,6 +183,11 @@
         })
     }
 
+    /// The estimate of each kind that a listed node has.
+    pub fn kind_estimates(&self) -> impl Iterator<Item = (KindId, KindEstimate)> + '_ {
+        self.kinds.iter().map(|(kind, estimate)| (*kind, *estimate))
+    }
+
     /// Nominal capacity: requests per second that a ready node of this kind and listed weight can serve.
     pub fn nominal_capacity(&self, node: &Node) -> f64 {
         node.weight()
--- a/crates/wheelspread/src/lib.rs
+++ b/crates/wheelspread/src/lib.rs
@@ -39,6 +39,6 @@
 
 pub use action::{Action, RetryPolicy};
 pub use balancer::Balancer;
-pub use capacity::CapacitySnapshot;
+pub use capacity::{CapacitySnapshot, KindEstimate};
 pub use error::{ConfigError, EventError};
 pub use event::{EndpointEntry, EndpointListKind, EndpointStatus, Event};
