Compare reported counts and windows with the fleet's demand

While nodes are replaced, a warming node is sent 5.4 times what it may be sent and falls over. Cause: a report's count was bounded by 1e6 attempts/s only. The rate of successes of one report enters the capacity of the whole kind and its peak observed rate. The first draws nearly all requests to the kind, the second lifts the limit of warming nodes. Change: report_check.rs. A rate above 8 equal shares of the demand and above twice the path's own mean needs the next report to agree, and all successes together must fit into the demand. Windows that overlap earlier ones, or are below a tenth of a period, are implausible. Demand reports are compared in the same way. Why it works: demand and successes come by different messages from different senders, and a request succeeds once.

--- a/crates/wheelspread/src/balancer.rs
+++ b/crates/wheelspread/src/balancer.rs
@@ -21,6 +21,7 @@
     apply_urgent_changes, bind_joined_proxies, publish_admission, publish_weights,
     published_weights, send_marker,
 };
+use crate::report_check::ReportClock;
 use crate::report_timing::REPORT_VALIDITY;
 use crate::settings::Settings;
 use crate::shares::TableWeights;
@@ -203,10 +204,16 @@
             return Ok(());
         };
         let fleet = &mut self.fleet;
+        let clock = ReportClock::new(fleet);
         let node = fleet
             .nodes
             .get_mut(&report.node)
             .ok_or(EventError::UnknownNode(report.node))?;
+        let own = fleet.outliers.path_rates(report.node, report.zone);
+        let report = fleet
+            .report_check
+            .check_load_report(&report, own, clock)
+            .inspect_err(|_| fleet.outliers.skip_load_report(&report, clock.now()))?;
         fleet.timing.on_report(fleet.now, report.window);
         fleet.timing.on_load_report(fleet.now);
         node.load
@@ -226,9 +233,14 @@
         window: Span,
     ) -> Result<(), EventError> {
         let fleet = &mut self.fleet;
+        let clock = ReportClock::new(fleet);
+        let demand = fleet.members.demand_mut(proxy, operation)?;
+        let requests = fleet
+            .report_check
+            .check_demand_report((proxy, operation), requests, window, demand, clock)
+            .inspect_err(|_| demand.skip_until(clock.now()))?;
         fleet.timing.on_report(fleet.now, window);
         let time_constant = fleet.timing.cycle() * DEMAND_TIME_CONSTANT_CYCLES;
-        let demand = fleet.members.demand_mut(proxy, operation)?;
         demand.add(
             requests,
             window,
@@ -350,6 +362,7 @@
     fn update_estimates(&mut self) {
         self.pacing.remove_expired(self.fleet.now);
         self.fleet.remove_departed();
+        self.fleet.update_report_check();
         self.fleet.update_kind_estimates();
         self.fleet.learn_capacity(self.admission.is_overloaded());
         self.fleet.update_kind_estimates();
--- a/crates/wheelspread/src/balancer/tests.rs
+++ b/crates/wheelspread/src/balancer/tests.rs
@@ -124,6 +124,10 @@
 #[test_case(include_str!("../../scenarios/messages_before_restart_count.txt"); "messages sent before a restart count")]
 #[test_case(include_str!("../../scenarios/consecutive_joins_move_no_subset.txt"); "consecutive joins do not move the subset ranges")]
 #[test_case(include_str!("../../scenarios/unacknowledged_markers_delay_no_join.txt"); "unacknowledged markers do not delay joins")]
+#[test_case(include_str!("../../scenarios/wrong_counts_raise_no_warming_limit.txt"); "wrong counts in load reports raise no limit of a warming node")]
+#[test_case(include_str!("../../scenarios/wrong_windows_lower_no_weight.txt"); "wrong windows of load reports lower no weight")]
+#[test_case(include_str!("../../scenarios/wrong_demand_cuts_no_admission.txt"); "wrong demand reports cut no admission")]
+#[test_case(include_str!("../../scenarios/lasting_surge_is_believed.txt"); "a surge that lasts is believed")]
 fn scenario(scenario_text: &str) {
     run(scenario_text);
 }
--- a/crates/wheelspread/src/error.rs
+++ b/crates/wheelspread/src/error.rs
@@ -55,6 +55,36 @@
         /// Length of time that the report covers, in seconds.
         window_seconds: f64,
     },
+    /// A node's load report whose rate or window can't be true, or whose rate no other report has confirmed yet.
+    #[error(
+        "load report of {attempts_per_second} attempts/s at {node:?} over {window_seconds} s is not plausible: \
+         {expected_per_second} attempts/s at most are expected"
+    )]
+    ImplausibleLoadReport {
+        /// The node.
+        node: NodeId,
+        /// Reported attempts per second.
+        attempts_per_second: f64,
+        /// The highest rate that is believed without confirmation.
+        expected_per_second: f64,
+        /// Length of time that the report covers, in seconds.
+        window_seconds: f64,
+    },
+    /// A proxy's demand report whose rate or window can't be true, or whose rate no other report has confirmed yet.
+    #[error(
+        "demand report of {requests_per_second} requests/s at {proxy:?} over {window_seconds} s is not plausible: \
+         {expected_per_second} requests/s at most are expected"
+    )]
+    ImplausibleDemandReport {
+        /// The proxy.
+        proxy: ProxyId,
+        /// Reported requests per second.
+        requests_per_second: f64,
+        /// The highest rate that is believed without confirmation.
+        expected_per_second: f64,
+        /// Length of time that the report covers, in seconds.
+        window_seconds: f64,
+    },
     /// A load report for a node that was in no endpoint list.
     #[error("load report for unknown node {0:?}")]
     UnknownNode(NodeId),
--- a/crates/wheelspread/src/event.rs
+++ b/crates/wheelspread/src/event.rs
@@ -176,11 +176,13 @@
                 failures,
                 window,
                 ..
-            } if !is_valid(window) || failures > attempts => Err(EventError::InvalidLoadReport {
-                attempts: *attempts,
-                failures: *failures,
-                window_seconds: window.seconds(),
-            }),
+            } if !is_valid(window) || !(0.0..=*attempts).contains(failures) => {
+                Err(EventError::InvalidLoadReport {
+                    attempts: *attempts,
+                    failures: *failures,
+                    window_seconds: window.seconds(),
+                })
+            }
             Event::DemandReport {
                 requests, window, ..
             } if !is_valid(window) || requests.is_nan() || *requests < 0.0 => {
--- a/crates/wheelspread/src/fleet.rs
+++ b/crates/wheelspread/src/fleet.rs
@@ -8,6 +8,7 @@
 use crate::membership::{Membership, Proxy};
 use crate::outlier::{DetectionInput, Outliers};
 use crate::pcg::Pcg;
+use crate::report_check::ReportCheck;
 use crate::report_timing::ReportTiming;
 use crate::tables::{undivided_tables, zero_demand, DemandClass, Table, Tables};
 use crate::time::Moment;
@@ -28,6 +29,7 @@
     pub tables: Tables,
     pub gossip: Gossip,
     pub timing: ReportTiming,
+    pub report_check: ReportCheck,
 }
 
 impl Fleet {
@@ -42,6 +44,7 @@
             tables: undivided_tables(&config.operations, config.zone_count()),
             gossip: Gossip::new(now),
             timing: ReportTiming::new(now, config.report_period),
+            report_check: ReportCheck::default(),
             config,
         }
     }
@@ -181,6 +184,14 @@
         self.capacity.update_kind_estimates(&self.nodes, demand);
     }
 
+    /// Updates the rates with which reports are compared.
+    pub fn update_report_check(&mut self) {
+        let since = self.timing.rates_valid_since();
+        let successes = self.outliers.total_success_rate(since);
+        self.report_check
+            .update(&self.nodes, &self.members, &self.config, successes);
+    }
+
     /// Runs outlier detection; returns whether any node's health state changed.
     pub fn detect_outliers(&mut self, random: &mut Pcg) -> bool {
         let input = DetectionInput {
--- a/crates/wheelspread/src/lib.rs
+++ b/crates/wheelspread/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod pcg;
 mod publication;
 mod rates;
+mod report_check;
 mod report_timing;
 mod retry_policy;
 pub mod rolling_window;
--- a/crates/wheelspread/src/membership.rs
+++ b/crates/wheelspread/src/membership.rs
@@ -146,6 +146,11 @@
         Ok(())
     }
 
+    /// The time at which the balancer started.
+    pub fn started_at(&self) -> Moment {
+        self.started_at
+    }
+
     /// The reported demand of one operation at a proxy, to which a report can be added.
     pub fn demand_mut(
         &mut self,
--- a/crates/wheelspread/src/node_load.rs
+++ b/crates/wheelspread/src/node_load.rs
@@ -8,6 +8,7 @@
 use std::ops::AddAssign;
 
 /// A load report of one node: observations of one zone's proxies and the node's own metrics.
+#[derive(Clone, Copy)]
 pub(crate) struct LoadReport<'a> {
     pub zone: ZoneId,
     pub node: NodeId,
@@ -19,9 +20,9 @@
     pub metrics: &'a [f64],
 }
 
-impl LoadReport<'_> {
+impl<'a> LoadReport<'a> {
     /// The load report in an event; `None` for other events.
-    pub fn from_event(event: &Event) -> Option<LoadReport<'_>> {
+    pub fn from_event(event: &'a Event) -> Option<LoadReport<'a>> {
         let Event::NodeLoadReport {
             zone,
             node,
@@ -45,6 +46,15 @@
         })
     }
 
+    /// The report with its counts multiplied by `ratio`.
+    pub fn scaled(self, ratio: f64) -> Self {
+        LoadReport {
+            attempts: self.attempts * ratio,
+            failures: self.failures * ratio,
+            ..self
+        }
+    }
+
     /// Attempts that succeeded.
     pub fn successes(&self) -> f64 {
         self.attempts - self.failures
--- a/crates/wheelspread/src/outlier.rs
+++ b/crates/wheelspread/src/outlier.rs
@@ -5,6 +5,7 @@
 use crate::node_load::{AttemptStats, LoadReport};
 use crate::pcg::Pcg;
 use crate::rates::ReportedRate;
+use crate::report_check::PathRates;
 use crate::report_timing::ReportTiming;
 use crate::rolling_window::RollingWindow;
 use crate::time::{Moment, Span};
@@ -191,6 +192,25 @@
         }
     }
 
+    /// The rates that the reports of a path gave.
+    pub fn path_rates(&self, id: NodeId, zone: ZoneId) -> PathRates {
+        let rates = |path: &Path| PathRates {
+            attempts: path.attempts.get().unwrap_or(0.0),
+            successes: path.successes.get().unwrap_or(0.0),
+            covered_until: path.attempts.covered_until(),
+        };
+        self.paths.get(&(id, zone)).map(rates).unwrap_or_default()
+    }
+
+    /// Records that a report of this path arrived and is not believed.
+    pub fn skip_load_report(&mut self, report: &LoadReport, now: Moment) {
+        if let Some(path) = self.paths.get_mut(&(report.node, report.zone)) {
+            path.attempts.skip_until(now);
+            path.successes.skip_until(now);
+            path.last_report_at = now;
+        }
+    }
+
     /// Removes all paths to a node.
     pub fn remove_node(&mut self, id: NodeId) {
         self.paths.retain(|key, _| key.0 != id);
@@ -215,6 +235,15 @@
             .sum()
     }
 
+    /// Successes per second at all nodes, over the paths that were reported since `since`.
+    pub fn total_success_rate(&self, since: Moment) -> f64 {
+        let reported = self
+            .paths
+            .values()
+            .filter(|path| path.last_report_at >= since);
+        reported.filter_map(|path| path.successes.get()).sum()
+    }
+
     /// Attempts and failures in the last `bucket_count` report periods, summed over all paths.
     pub fn recent(&self, now: Moment, bucket_count: usize) -> AttemptStats {
         let mut sum = AttemptStats::default();
--- a/crates/wheelspread/src/rates.rs
+++ b/crates/wheelspread/src/rates.rs
@@ -64,6 +64,16 @@
         self.covered_until = Some(now);
     }
 
+    /// Leaves out the time up to `now`, which a report covered that is not believed: it does not count as rate 0.
+    pub fn skip_until(&mut self, now: Moment) {
+        self.covered_until = self.covered_until.map(|_| now);
+    }
+
+    /// Time of the latest report for this rate.
+    pub fn covered_until(&self) -> Option<Moment> {
+        self.covered_until
+    }
+
     /// The mean rate per second; `None` before the first report.
     pub fn get(&self) -> Option<f64> {
         self.rate.get()
