Bound the latency of an acknowledgement by the time since its marker was sent

Cause: a latency of up to 600 s raised the limit after which a silent stream is closed (1.5 s and twice the slowest latency), for all streams and 10 s. An acknowledgement of a marker that is not outstanding did so too. Change: the latency is at most the time since the marker was sent; an unknown marker records none. Test: wrong_latency.txt. It failed before: the silent stream was still open after 6 s.

--- a/crates/platform-core/src/controller_core/messages.rs
+++ b/crates/platform-core/src/controller_core/messages.rs
@@ -153,12 +153,13 @@
         marker: MarkerId,
         latency: Span,
     ) {
+        let Some(acknowledged) = self.publication.acknowledge(proxy, marker) else {
+            return self.report(Diagnostic::UnknownMarker { proxy, marker });
+        };
+        // A wrong latency must not raise the silence limit of all streams.
+        let latency = latency.min(now - acknowledged.sent_at);
         self.acknowledgement_latency.record(now, latency);
-        let covered = self.publication.acknowledge(proxy, marker);
-        if covered.is_empty() {
-            self.report(Diagnostic::UnknownMarker { proxy, marker });
-        }
-        for marker in covered {
+        for marker in acknowledged.markers {
             let event = Event::MarkerAcknowledged {
                 proxy,
                 marker,
--- a/crates/platform-core/src/publication.rs
+++ b/crates/platform-core/src/publication.rs
@@ -28,6 +28,15 @@
     sent_at: Moment,
 }
 
+/// The markers that an acknowledgement covers.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Acknowledged {
+    /// The covered markers in the order of sending.
+    pub markers: Vec<MarkerId>,
+    /// When the acknowledged marker was sent.
+    pub sent_at: Moment,
+}
+
 /// The bindings, ejections and outstanding markers that were sent on one stream.
 #[derive(Clone, Debug, Default)]
 struct StreamState {
@@ -119,18 +128,16 @@
         self.changes.newly_bound.remove(&proxy);
     }
 
-    /// Processes an acknowledgement, which covers the marker and all markers sent before it. Returns the covered
-    /// markers in the order of sending; none if the marker is not outstanding.
-    pub fn acknowledge(&mut self, proxy: ProxyId, marker: MarkerId) -> Vec<MarkerId> {
-        let Some(stream) = self.streams.get_mut(&proxy) else {
-            return Vec::new();
-        };
+    /// Processes an acknowledgement, which covers the marker and all markers sent before it; `None` if the marker is
+    /// not outstanding.
+    pub fn acknowledge(&mut self, proxy: ProxyId, marker: MarkerId) -> Option<Acknowledged> {
+        let stream = self.streams.get_mut(&proxy)?;
         let is_named = |sent: &OutstandingMarker| sent.marker == marker;
-        let Some(index) = stream.outstanding.iter().position(is_named) else {
-            return Vec::new();
-        };
+        let index = stream.outstanding.iter().position(is_named)?;
+        let sent_at = stream.outstanding[index].sent_at;
         let covered = stream.outstanding.drain(..=index);
-        covered.map(|sent| sent.marker).collect()
+        let markers = covered.map(|sent| sent.marker).collect();
+        Some(Acknowledged { markers, sent_at })
     }
 
     /// The time at which the proxy's oldest outstanding marker was sent.
--- a/crates/platform-core/src/tests/publication.rs
+++ b/crates/platform-core/src/tests/publication.rs
@@ -118,13 +118,14 @@
     publish(&mut publication, &membership, &removal);
     let other_table = [weight(4, nodes[0], 2.0), marker(11, false)];
     publish(&mut publication, &membership, &other_table);
+    let acknowledged = publication.acknowledge(ProxyId(0), MarkerId(10));
     assert_eq!(
-        publication.acknowledge(ProxyId(0), MarkerId(10)),
-        [MarkerId(9), MarkerId(10)]
+        acknowledged.map(|acknowledged| acknowledged.markers),
+        Some(vec![MarkerId(9), MarkerId(10)])
     );
     assert_eq!(
         publication.acknowledge(ProxyId(0), MarkerId(11)),
-        [],
+        None,
         "a marker that was not sent"
     );
     assert_eq!(
--- a/crates/platform-core/src/tests/scenarios.rs
+++ b/crates/platform-core/src/tests/scenarios.rs
@@ -3,7 +3,7 @@
 //!     TIME list VERSION NAME:ZONE[:STATUS][:AGE] ..    a complete endpoint list; `change` for changes of it
 //!     TIME source N                                    the source of the lists that follow, initially 1
 //!     TIME connection KEY WORDS ..                     a message received on this connection
-//!     TIME acknowledge KEY                             acknowledges the newest marker sent on the connection
+//!     TIME acknowledge KEY [MS]                        acknowledges the newest marker sent on the connection
 //!     TIME end KEY                                     the connection ends
 //!     TIME idle                                        no input; the core only decides
 //!     expect outcome consumed|identified|pong|close    the outcome of the last message
@@ -24,6 +24,7 @@
 use wheelspread::time::Moment;
 
 const FIRST_SOURCE: SourceId = SourceId(1);
+const USUAL_LATENCY_MILLIS: &str = "300.5";
 
 struct ScenarioRunner {
     core: ControllerCore,
@@ -73,7 +74,8 @@
             ["change", version, entries @ ..] => self.send_list(version, false, entries),
             ["source", number] => self.source = SourceId(parse(number)),
             ["connection", key, words @ ..] => self.send(connection(key), words),
-            ["acknowledge", key] => self.acknowledge(connection(key)),
+            ["acknowledge", key] => self.acknowledge(connection(key), USUAL_LATENCY_MILLIS),
+            ["acknowledge", key, latency] => self.acknowledge(connection(key), latency),
             ["end", key] => self.core.handle_connection_closed(now, connection(key)),
             ["idle"] => {}
             other => panic!("unknown step: {other:?}"),
@@ -111,12 +113,18 @@
     }
 
     /// Acknowledges the newest marker. The last digit of the connection id is the proxy id.
-    fn acknowledge(&mut self, connection: ConnectionId) {
+    fn acknowledge(&mut self, connection: ConnectionId, latency_millis: &str) {
         let marker = self.newest_markers.get(&connection).cloned();
         let marker = marker.expect("the connection was sent a marker");
         let proxy = (connection.0 % 10).to_string();
         let words = [
-            "applied", "sidecar", &proxy, "version", &marker, "lag_ms", "300.5",
+            "applied",
+            "sidecar",
+            &proxy,
+            "version",
+            &marker,
+            "lag_ms",
+            latency_millis,
         ];
         self.send(connection, &words);
     }
@@ -207,6 +215,7 @@
 #[test_case(include_str!("../../scenarios/crossing.txt"); "a newer stream of a proxy replaces the older one")]
 #[test_case(include_str!("../../scenarios/sources.txt"); "discovery that changes its address or restarts its versions")]
 #[test_case(include_str!("../../scenarios/lists.txt"); "lists that arrive late or repeatedly")]
+#[test_case(include_str!("../../scenarios/wrong_latency.txt"); "a wrong acknowledgement latency does not keep silent streams open")]
 fn scenario_meets_its_expectations(script: &str) {
     let mut runner = ScenarioRunner::new();
     let mut steps = Vec::new();
