Give each client of the proxy a bounded turn of the event loop

While one client sends small requests without pause and the proxy answers them itself (503 or 429), other clients wait until it stops: 3.98 s of 4 s. If it doesn't read, its responses are buffered without a limit. Cause: a client was read and served until its socket was empty, and again at once after each local response. Evidence: probes by kind of request: only requests that the proxy answers itself on an open connection delay others. Change: a turn ends after 32 KiB read or 64 steps and goes on in the next iteration; a client with 256 KiB of unread responses waits; no more than 64 KiB is read ahead (1.1 MB before, moved with each request).

--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod client;
 pub mod keys;
+pub mod memory;
 
 use std::fs::File;
 use std::net::SocketAddrV4;
@@ -206,14 +207,6 @@
     )
 }
 
-/// Resident memory of a process in KiB. The test fails if it can't be read.
-pub fn resident_kib(pid: u32) -> u64 {
-    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).expect("the process runs");
-    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
-    let kib = line.and_then(|line| line.split_whitespace().nth(1));
-    kib.and_then(|kib| kib.parse().ok()).expect("a VmRSS value")
-}
-
 pub fn encode(message: &impl prost::Message) -> Vec<u8> {
     message.encode_to_vec()
 }
--- a/crates/cli/tests/controller.rs
+++ b/crates/cli/tests/controller.rs
@@ -3,7 +3,8 @@
 
 mod common;
 
-use common::{encode, endpoint_list_text, resident_kib, write, ControllerProcess, PROGRAM};
+use common::memory::resident_kib;
+use common::{encode, endpoint_list_text, write, ControllerProcess, PROGRAM};
 use std::io::Write;
 use std::net::TcpStream;
 use std::process::Command;
--- a/crates/cli/tests/streams.rs
+++ b/crates/cli/tests/streams.rs
@@ -5,7 +5,8 @@
 
 use common::client::{connect, Client};
 use common::keys::Authority;
-use common::{resident_kib, run_to_end, ControllerProcess, PROGRAM};
+use common::memory::resident_kib;
+use common::{run_to_end, ControllerProcess, PROGRAM};
 use std::process::Command;
 use std::time::{Duration, Instant};
 use wheelspread_discovery::ResourceType;
--- a/crates/proxy/src/client.rs
+++ b/crates/proxy/src/client.rs
@@ -8,8 +8,8 @@
 use wheelspread_http1::{Body, Request};
 use wheelspread_proxy_core::RequestHandle;
 
-/// Maximum number of bytes read ahead while a request is pending.
-pub const READ_AHEAD_BYTES: usize = 64 << 10;
+/// Maximum number of bytes read ahead of what the current stage needs.
+const READ_AHEAD_BYTES: usize = 64 << 10;
 /// While a client has at least this many unsent response bytes, no more of its response is read from the node.
 pub const MAX_UNSENT_RESPONSE_BYTES: usize = 256 << 10;
 
@@ -68,6 +68,9 @@
     /// When bytes were last read or written, or a response was last queued.
     pub last_activity_at: Moment,
     read_state: ReadState,
+    /// Whether the last turn ended at its limits, so that the next one takes place in the next iteration of the event
+    /// loop.
+    pub is_deferred: bool,
 }
 
 impl Client {
@@ -82,6 +85,7 @@
             pending: None,
             last_activity_at: now,
             read_state: ReadState::NEW,
+            is_deferred: false,
         }
     }
 
@@ -104,6 +108,16 @@
         state
     }
 
+    /// The length of the input up to which more is read: what the current stage can use, and some of what follows.
+    pub fn read_limit(&self, max_head_bytes: usize) -> usize {
+        let needed = match &self.stage {
+            Stage::Head => max_head_bytes,
+            Stage::Body { head, received, .. } => head.length + received,
+            Stage::Waiting | Stage::Closing => 0,
+        };
+        needed + READ_AHEAD_BYTES
+    }
+
     /// Whether the client closed its sending side. It may still read.
     pub fn peer_closed(&self) -> bool {
         self.read_state.peer_closed
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -50,6 +50,8 @@
     limits: Limits,
     /// Slots of clients with new output or a new stage. They are served before the event loop sleeps.
     changed_clients: Vec<usize>,
+    /// Slots of clients whose last turn ended at its limits. They are served in the next iteration of the event loop.
+    deferred_clients: Vec<usize>,
     read_buffer: Vec<u8>,
     observer: W,
 }
@@ -100,6 +102,7 @@
                 ..Limits::default()
             },
             changed_clients: Vec::new(),
+            deferred_clients: Vec::new(),
             read_buffer: vec![0; READ_BUFFER_BYTES],
             observer,
             tokens,
@@ -154,6 +157,7 @@
     /// Does the work that is due at `now`, independent of socket events.
     pub fn run_due_work(&mut self, poll: &Poll, now: Moment) {
         self.expire_attempts(poll, now);
+        self.serve_deferred_clients(poll, now);
         if now >= self.report_stream.next_wakeup(now) {
             self.poll_report_stream(poll, now);
         }
@@ -169,6 +173,9 @@
 
     /// When [`run_due_work`](Proxy::run_due_work) has to be called at the latest.
     pub fn next_wakeup(&self, now: Moment) -> Moment {
+        if !self.deferred_clients.is_empty() {
+            return now;
+        }
         let mut next = self
             .next_maintenance
             .min(self.report_stream.next_wakeup(now));
@@ -180,7 +187,10 @@
 
     fn serve_changed_clients(&mut self, poll: &Poll, now: Moment) {
         while let Some(slot) = self.changed_clients.pop() {
-            self.serve_client(poll, now, slot, false);
+            let client = self.clients.get(slot);
+            if client.is_some_and(|client| !client.is_deferred) {
+                self.serve_client(poll, now, slot, false);
+            }
         }
     }
 }
--- a/crates/proxy/src/proxy/client_side.rs
+++ b/crates/proxy/src/proxy/client_side.rs
@@ -1,7 +1,7 @@
 //! The client side: accepts connections, reads complete requests and passes them to the core.
 
 use super::Proxy;
-use crate::client::{Client, PendingRequest, Stage, MAX_UNSENT_RESPONSE_BYTES, READ_AHEAD_BYTES};
+use crate::client::{Client, PendingRequest, Stage, MAX_UNSENT_RESPONSE_BYTES};
 use crate::connection::ConnectionState;
 use crate::http::{self, LocalResponse, LocalStatus};
 use crate::observer::{RequestObserver, RequestOutcome};
@@ -13,6 +13,11 @@
 use wheelspread_proxy_core::RequestHandle;
 use wheelspread_reactor::{self as reactor, Interest, Poll};
 
+/// Maximum number of steps for one client in one turn: parts of requests that are handled.
+const MAX_STEPS_PER_TURN: usize = 64;
+/// Number of bytes read from one client after which its turn ends.
+const MAX_BYTES_PER_TURN: usize = 32 << 10;
+
 impl<W: RequestObserver> Proxy<W> {
     pub(super) fn accept_clients(&mut self, poll: &Poll, now: Moment) {
         let (accepted, _) = reactor::accept(&self.listener);
@@ -30,7 +35,8 @@
         }
     }
 
-    /// Reads, handles and writes as much as possible for one client without blocking.
+    /// Reads, handles and writes for one client without blocking, up to the limits of one turn. The rest is done in the
+    /// next iteration of the event loop, so that a client that sends without pause delays no other.
     pub(super) fn serve_client(&mut self, poll: &Poll, now: Moment, slot: usize, readable: bool) {
         if self.read_requests(poll, now, slot, readable) == ConnectionState::Closed {
             return self.disconnect_client(poll, now, slot);
@@ -51,25 +57,48 @@
         slot: usize,
         readable: bool,
     ) -> ConnectionState {
-        let max_request =
-            self.config.max_head_bytes + self.config.max_body_bytes + READ_AHEAD_BYTES;
-        loop {
+        let mut bytes_read = 0;
+        for _ in 0..MAX_STEPS_PER_TURN {
             let Some(client) = self.clients.get_mut(slot) else {
                 return ConnectionState::Open;
             };
-            let limit = if client.pending.is_some() {
-                READ_AHEAD_BYTES
-            } else {
-                max_request
-            };
-            if client.read(now, limit, readable, &mut self.read_buffer) == ConnectionState::Closed
-                || client.write(now) == ConnectionState::Closed
-            {
+            let limit = client.read_limit(self.config.max_head_bytes);
+            let length_before = client.input.len();
+            if client.read(now, limit, readable, &mut self.read_buffer) == ConnectionState::Closed {
+                return ConnectionState::Closed;
+            }
+            bytes_read += client.input.len() - length_before;
+            if client.write(now) == ConnectionState::Closed {
                 return ConnectionState::Closed;
             }
             if !self.advance_request(poll, now, slot) {
                 return ConnectionState::Open;
             }
+            if bytes_read >= MAX_BYTES_PER_TURN {
+                break;
+            }
+        }
+        self.defer_client(slot);
+        ConnectionState::Open
+    }
+
+    fn defer_client(&mut self, slot: usize) {
+        let Some(client) = self.clients.get_mut(slot) else {
+            return;
+        };
+        if !client.is_deferred {
+            client.is_deferred = true;
+            self.deferred_clients.push(slot);
+        }
+    }
+
+    /// Continues with the clients whose last turn ended at its limits.
+    pub(super) fn serve_deferred_clients(&mut self, poll: &Poll, now: Moment) {
+        for slot in std::mem::take(&mut self.deferred_clients) {
+            if let Some(client) = self.clients.get_mut(slot) {
+                client.is_deferred = false;
+                self.serve_client(poll, now, slot, false);
+            }
         }
     }
 
@@ -92,10 +121,15 @@
 
     /// Handles the next part of a client's input. Returns `false` if more input is needed or none is expected.
     fn advance_request(&mut self, poll: &Poll, now: Moment, slot: usize) -> bool {
-        match self.clients.get(slot).map(|client| &client.stage) {
-            Some(Stage::Head) => self.read_head(now, slot),
-            Some(Stage::Body { .. }) => self.read_body(poll, now, slot),
-            Some(Stage::Waiting | Stage::Closing) | None => false,
+        let Some(client) = self.clients.get(slot) else {
+            return false;
+        };
+        match client.stage {
+            // A client that does not read its responses has to do so before its next request is handled.
+            Stage::Head if client.unsent_bytes() >= MAX_UNSENT_RESPONSE_BYTES => false,
+            Stage::Head => self.read_head(now, slot),
+            Stage::Body { .. } => self.read_body(poll, now, slot),
+            Stage::Waiting | Stage::Closing => false,
         }
     }
 
