Limit the buffers of all clients of a proxy together

Cause: limits for each request and for connections, none for all buffers. Change: sizes.buffers (64 MiB, or four requests of maximum size where that is more); above it the largest incomplete request gets 503. Old files load as before.

--- a/crates/cli/tests/proxy.rs
+++ b/crates/cli/tests/proxy.rs
@@ -349,6 +349,31 @@
     assert!(rest.ends_with("\r\n\r\nuntil the end"), "{rest}");
 }
 
+// A body longer than what is read in one turn must be read to its end, though no further bytes arrive meanwhile.
+#[test]
+fn a_long_request_that_arrives_at_once_is_forwarded_complete() {
+    let (listener, proxy) = start_with_manual_node(RetryPolicy::Never);
+    let mut client = proxy.client();
+    client
+        .set_write_timeout(Some(Duration::from_secs(10)))
+        .expect("set");
+    let body = vec![b'x'; 1 << 20];
+    let head = format!(
+        "POST /quote HTTP/1.1\r\nHost: a\r\nContent-Length: {}\r\n\r\n",
+        body.len()
+    );
+    client.write_all(head.as_bytes()).expect("sent");
+    client.write_all(&body).expect("sent");
+    let (mut node, _) = listener.accept().expect("connection accepted");
+    read_until(&mut node, "\r\n\r\n");
+    let mut received = vec![0; body.len()];
+    node.read_exact(&mut received).expect("the whole body");
+    assert!(received == body);
+    node.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        .expect("sent");
+    assert!(read_until(&mut client, "\r\n\r\n").starts_with("HTTP/1.1 200 "));
+}
+
 #[test]
 fn a_connection_closed_while_idle_is_replaced_and_one_closed_under_a_request_is_not_retried() {
     let (listener, proxy) = start_with_manual_node(RetryPolicy::IfUnprocessed);
--- a/crates/cli/tests/unruly_clients.rs
+++ b/crates/cli/tests/unruly_clients.rs
@@ -6,11 +6,13 @@
 #[path = "common/proxy.rs"]
 mod proxy;
 
-use proxy::{read_until, ProxyProcess};
+use memory::{peak_resident_kib, resident_kib};
+use proxy::{equal_weights, read_until, ProxyProcess};
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 use wheelspread::RetryPolicy;
+use wheelspread_drill::load::FastNodes;
 
 const SMALL_REQUEST: &[u8] = b"GET /quote HTTP/1.1\r\nHost: a\r\n\r\n";
 /// The longest time that a small request of another client may take: the integration timeout of its operation.
@@ -68,3 +70,55 @@
         "the proxy took requests for {taken_for:?}"
     );
 }
+
+/// Sends each of these clients' bytes as far as the proxy takes them within 2 s, then checks that another client
+/// gets its answers and that the proxy has not grown by more than its limit for buffers.
+fn hold_incomplete_requests(request: &[u8], clients: usize) {
+    const BUFFERS_KIB: u64 = 16 << 10;
+    /// Memory of the process beside the buffers: connections, and what the allocator keeps.
+    const OTHER_KIB: u64 = 16 << 10;
+    let nodes = FastNodes::start(1, false, 1).expect("nodes");
+    let settings = format!("sizes: {{buffers: {}}}", BUFFERS_KIB << 10);
+    let proxy = ProxyProcess::new(&settings, &equal_weights(&nodes), RetryPolicy::Never);
+    let before = resident_kib(proxy.id());
+    let mut senders: Vec<(TcpStream, usize)> = (0..clients)
+        .map(|_| {
+            let stream = proxy.client();
+            stream.set_nonblocking(true).expect("set");
+            (stream, 0)
+        })
+        .collect();
+    let end = Instant::now() + Duration::from_secs(2);
+    while Instant::now() < end {
+        for (stream, sent) in &mut senders {
+            *sent += stream.write(&request[*sent..]).unwrap_or(0);
+        }
+    }
+    for _ in 0..10 {
+        let begin = Instant::now();
+        let mut client = proxy.client();
+        client.write_all(SMALL_REQUEST).expect("sent");
+        let answer = read_until(&mut client, "\r\n\r\n");
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+        assert!(begin.elapsed() < ANSWER_TIME_MAX, "{:?}", begin.elapsed());
+    }
+    let growth = peak_resident_kib(proxy.id()).saturating_sub(before);
+    assert!(growth < BUFFERS_KIB + OTHER_KIB, "grown by {growth} KiB");
+}
+
+// The buffers of all clients together had no limit: 300 clients that stopped half way took 264 MB.
+#[test]
+fn clients_that_stop_half_way_through_a_request_take_no_more_memory_than_the_limit() {
+    let mut request =
+        b"POST /quote HTTP/1.1\r\nHost: a\r\nContent-Length: 1000000\r\n\r\n".to_vec();
+    request.resize(900_000, b'x');
+    hold_incomplete_requests(&request, 200);
+}
+
+// Guards the limit of a head, beside that of all buffers: a head of short fields that never ends.
+#[test]
+fn clients_with_heads_of_many_short_fields_take_no_more_memory_than_the_limit() {
+    let fields = b"a:b\r\n".repeat(3000);
+    let request = [b"GET /quote HTTP/1.1\r\nHost: a\r\n".as_slice(), &fields].concat();
+    hold_incomplete_requests(&request, 400);
+}
--- a/crates/drill/src/proxies.rs
+++ b/crates/drill/src/proxies.rs
@@ -205,6 +205,7 @@
         },
         max_head_bytes: 16 << 10,
         max_body_bytes: 1 << 16,
+        max_buffer_bytes: 64 << 20,
         max_client_connections: 5000,
         max_connections_per_node: 64,
         timeouts: Timeouts {
--- a/crates/proxy/src/client.rs
+++ b/crates/proxy/src/client.rs
@@ -71,6 +71,8 @@
     /// Whether the last turn ended at its limits, so that the next one takes place in the next iteration of the event
     /// loop.
     pub is_deferred: bool,
+    /// The bytes of this client's buffers that are counted in the total of all clients.
+    pub counted_buffer_bytes: usize,
 }
 
 impl Client {
@@ -86,6 +88,7 @@
             last_activity_at: now,
             read_state: ReadState::NEW,
             is_deferred: false,
+            counted_buffer_bytes: 0,
         }
     }
 
@@ -118,6 +121,12 @@
         needed + READ_AHEAD_BYTES
     }
 
+    /// Whether there may be unread bytes in the socket that the current stage may read.
+    pub fn can_read_more(&self, max_head_bytes: usize) -> bool {
+        let is_readable = self.read_state.may_have_more && !self.read_state.peer_closed;
+        is_readable && self.input.len() < self.read_limit(max_head_bytes)
+    }
+
     /// Whether the client closed its sending side. It may still read.
     pub fn peer_closed(&self) -> bool {
         self.read_state.peer_closed
@@ -187,6 +196,25 @@
         self.unsent_bytes() == 0 && (is_closing || (self.peer_closed() && is_idle))
     }
 
+    /// Bytes of memory allocated for the buffers of this connection.
+    pub fn buffer_bytes(&self) -> usize {
+        let request_bytes = self
+            .pending
+            .as_ref()
+            .map_or(0, |pending| pending.bytes.capacity());
+        self.input.capacity() + self.output.capacity() + request_bytes
+    }
+
+    /// Bytes of memory allocated for an incomplete request; 0 if no part of a request was received.
+    pub fn partial_request_bytes(&self) -> usize {
+        let is_partial = self.pending.is_none() && !matches!(self.stage, Stage::Closing);
+        if is_partial {
+            self.input.capacity()
+        } else {
+            0
+        }
+    }
+
     /// Whether part of a request was received and an error response can still be sent.
     pub fn has_partial_request(&self) -> bool {
         let has_begun = matches!(self.stage, Stage::Body { .. }) || !self.input.is_empty();
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -90,6 +90,9 @@
     pub max_head_bytes: usize,
     /// Maximum length of a request body, in bytes.
     pub max_body_bytes: usize,
+    /// Maximum size of the buffers of all clients together, in bytes. Above it, the largest incomplete request is
+    /// rejected.
+    pub max_buffer_bytes: usize,
     /// Maximum number of open client connections. Further ones are closed immediately after they are accepted.
     pub max_client_connections: usize,
     /// Maximum number of open connections to one node, including idle ones.
@@ -213,6 +216,12 @@
         "sizes: head should be at least 256 bytes, connections and connections_per_node above 0"
     )]
     Sizes,
+    /// The buffers of all clients are too small.
+    #[error("sizes: buffers should be at least {min} bytes, four times head and body")]
+    BufferSize {
+        /// The smallest allowed size in bytes.
+        min: usize,
+    },
     /// The integration time-out of an operation is not positive.
     #[error("operations.{index}.integration_timeout: should be above 0")]
     IntegrationTimeout {
--- a/crates/proxy/src/config/file.rs
+++ b/crates/proxy/src/config/file.rs
@@ -17,6 +17,11 @@
 const MAX_OPERATIONS: usize = 16;
 /// A shorter limit leaves no room for a request line and a `Host` header.
 const MIN_HEAD_BYTES: usize = 256;
+/// Minimum size of all buffers, in requests of maximum size: one is received while another is forwarded, and a buffer
+/// that grows takes twice its content.
+const MIN_BUFFERS_REQUESTS: usize = 4;
+/// Size of all buffers if the file gives none.
+const DEFAULT_BUFFER_BYTES: usize = 64 << 20;
 const MAX_RETRY_RATIO: f64 = 10.0;
 const MAX_RETRY_BURST: f64 = 1e6;
 
@@ -136,6 +141,9 @@
     head: usize,
     /// Maximum request body length in bytes.
     body: usize,
+    /// Maximum size of the buffers of all clients together in bytes. If omitted, it is `DEFAULT_BUFFER_BYTES`, or the
+    /// minimum where that is larger.
+    buffers: Option<usize>,
     /// Maximum number of client connections.
     connections: usize,
     connections_per_node: usize,
@@ -144,11 +152,24 @@
     in_flight_per_node: u32,
 }
 
+impl Sizes {
+    fn min_buffer_bytes(&self) -> usize {
+        let request_bytes = self.head.saturating_add(self.body);
+        request_bytes.saturating_mul(MIN_BUFFERS_REQUESTS)
+    }
+
+    fn max_buffer_bytes(&self) -> usize {
+        let default = DEFAULT_BUFFER_BYTES.max(self.min_buffer_bytes());
+        self.buffers.unwrap_or(default)
+    }
+}
+
 impl Default for Sizes {
     fn default() -> Self {
         Sizes {
             head: 16 << 10,
             body: 1 << 20,
+            buffers: None,
             connections: 20_000,
             connections_per_node: 256,
             in_flight_per_node: 0,
@@ -224,6 +245,7 @@
             },
             max_head_bytes: self.sizes.head,
             max_body_bytes: self.sizes.body,
+            max_buffer_bytes: self.sizes.max_buffer_bytes(),
             max_client_connections: self.sizes.connections,
             max_connections_per_node: self.sizes.connections_per_node,
             timeouts: self.timeouts,
@@ -256,6 +278,10 @@
         {
             return Err(InvalidConfig::Sizes);
         }
+        let min = sizes.min_buffer_bytes();
+        if sizes.max_buffer_bytes() < min {
+            return Err(InvalidConfig::BufferSize { min });
+        }
         for index in 0..self.operations.len() {
             self.check_operation(index)?;
         }
--- a/crates/proxy/src/config/tests.rs
+++ b/crates/proxy/src/config/tests.rs
@@ -23,6 +23,7 @@
         (config.max_head_bytes, config.max_body_bytes),
         (16_384, 1_048_576)
     );
+    assert_eq!(config.max_buffer_bytes, 64 << 20);
     assert_eq!(
         (
             config.max_client_connections,
@@ -63,7 +64,7 @@
 pick: pair
 avoid: {after_errors: 7, span: 8s}
 repeats: {part: 0.5, at_once: 3}
-sizes: {head: 300, body: 301, connections: 302, connections_per_node: 303, outstanding_per_node: 304}
+sizes: {head: 300, body: 301, buffers: 30000, connections: 302, connections_per_node: 303, outstanding_per_node: 304}
 waits: {connect: 1s, request: 2s, client_idle: 3s, node_idle: 4s, redial: 5s}
 publishes_status: false
 follows_unjoined: true
@@ -79,6 +80,7 @@
         config.core.max_in_flight_per_node as usize,
     ];
     assert_eq!(sizes, [300, 301, 302, 303, 304]);
+    assert_eq!(config.max_buffer_bytes, 30_000);
     let timeouts = &config.timeouts;
     let durations = [
         timeouts.connect,
@@ -118,6 +120,7 @@
 #[test_case("operations:", "repeats: {part: 11}\noperations:", "repeats: part should be between 0 and 10, at_once between 0 and 1e6"; "retry budget out of range")]
 #[test_case("operations:", "sizes: {head: 255}\noperations:", "sizes: head should be at least 256 bytes, connections and connections_per_node above 0"; "head size too small")]
 #[test_case("operations:", "sizes: {connections: 0}\noperations:", "sizes: head should be at least 256 bytes, connections and connections_per_node above 0"; "no client connection allowed")]
+#[test_case("operations:", "sizes: {buffers: 4259839}\noperations:", "sizes: buffers should be at least 4259840 bytes, four times head and body"; "buffers too small")]
 #[test_case("operations:", "tls: {roots: r, name: n, key: k}\noperations:", "tls: certificate and key should be set together"; "key without certificate")]
 #[test_case("operations:", "tls: {roots: r, name: \"a b\"}\noperations:", "tls: name should be a host name or an IP address"; "invalid controller name")]
 fn the_error_names_a_value_that_is_not_allowed(from: &str, to: &str, reason: &str) {
--- a/crates/proxy/src/http.rs
+++ b/crates/proxy/src/http.rs
@@ -106,6 +106,8 @@
     UpstreamFailed,
     /// No node is available.
     NoNode,
+    /// The buffers of all clients exceed their limit.
+    BuffersFull,
     /// The last attempt timed out.
     UpstreamTimeout,
 }
@@ -121,7 +123,7 @@
             LocalStatus::HeadTooLarge => "431 Request Header Fields Too Large",
             LocalStatus::RateLimited => "429 Too Many Requests",
             LocalStatus::UpstreamFailed => "502 Bad Gateway",
-            LocalStatus::NoNode => "503 Service Unavailable",
+            LocalStatus::NoNode | LocalStatus::BuffersFull => "503 Service Unavailable",
             LocalStatus::UpstreamTimeout => "504 Gateway Timeout",
         }
     }
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -1,10 +1,11 @@
 //! The proxy: carries out the core's decisions on sockets and reports socket events to the core.
 //!
 //! `Proxy` owns all connections of one proxy. Its handlers are divided by concern: [`client_side`] reads requests,
-//! [`attempts`] carries out the core's decisions, [`upstream_side`] forwards responses, [`tables`] handles tables and
+//! [`buffers`] limits their memory, [`attempts`] carries out the core's decisions, [`upstream_side`] forwards responses, [`tables`] handles tables and
 //! events of the load report stream, [`maintenance`] closes connections that timed out.
 
 mod attempts;
+mod buffers;
 mod client_side;
 mod maintenance;
 mod tables;
@@ -18,6 +19,7 @@
 use crate::table_stream::TableStream;
 use crate::token::{Source, TokenSpace};
 use crate::upstream_pool::{PoolConfig, UpstreamPool};
+use buffers::ClientBuffers;
 use slab::Slab;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
@@ -40,6 +42,7 @@
     core: ProxyCore,
     listener: TcpListener,
     clients: Slab<Client>,
+    buffers: ClientBuffers,
     upstreams: UpstreamPool,
     /// The client slot of each request, indexed by the slot of the request handle.
     request_owners: Vec<Option<usize>>,
@@ -87,6 +90,7 @@
             core: ProxyCore::new(now, config.seed, config.core.clone()),
             listener,
             clients: Slab::new(),
+            buffers: ClientBuffers::new(config.max_buffer_bytes),
             upstreams: UpstreamPool::new(PoolConfig {
                 tokens,
                 source: config.source,
--- a/crates/proxy/src/proxy/client_side.rs
+++ b/crates/proxy/src/proxy/client_side.rs
@@ -48,6 +48,7 @@
             return self.disconnect_client(poll, now, slot);
         }
         self.resume_upstream(poll, now, slot);
+        self.limit_buffers(poll, now, slot);
     }
 
     fn read_requests(
@@ -71,7 +72,8 @@
             if client.write(now) == ConnectionState::Closed {
                 return ConnectionState::Closed;
             }
-            if !self.advance_request(poll, now, slot) {
+            let has_advanced = self.advance_request(poll, now, slot);
+            if !has_advanced && !self.can_read_more(slot) {
                 return ConnectionState::Open;
             }
             if bytes_read >= MAX_BYTES_PER_TURN {
@@ -82,6 +84,12 @@
         ConnectionState::Open
     }
 
+    /// Whether the last read of a client ended at a limit that has risen since, as the body of its request goes on.
+    fn can_read_more(&self, slot: usize) -> bool {
+        let client = self.clients.get(slot);
+        client.is_some_and(|client| client.can_read_more(self.config.max_head_bytes))
+    }
+
     fn defer_client(&mut self, slot: usize) {
         let Some(client) = self.clients.get_mut(slot) else {
             return;
@@ -294,6 +302,7 @@
             return;
         };
         let _ = poll.remove(&client.socket);
+        self.buffers.remove(&client);
         if let Some(pending) = client.pending {
             self.observer
                 .request_finished(now, &pending.id, RequestOutcome::ClientGone);
