Hold a platform controller's buffers to their limit after each read

Cause: the limit was checked once an iteration and one connection closed, while each of hundreds was read for 256 KiB. Change: after each read, connections with the largest buffers are closed until the rest is within the limit. Test: peers_that_send_half_of_a_large_message.. failed before (grown by 112,856 KiB, 16 MiB allowed).

--- a/crates/cli/tests/common/platform.rs
+++ b/crates/cli/tests/common/platform.rs
@@ -318,6 +318,11 @@
         std::fs::write(self.config(), text).expect("written");
     }
 
+    /// The process id.
+    pub fn id(&self) -> u32 {
+        self.child.as_ref().expect("the process runs").id()
+    }
+
     pub fn signal(&self, signal: rustix::process::Signal) {
         let id = self.child.as_ref().expect("the process runs").id();
         let pid = rustix::process::Pid::from_raw(id as i32).expect("a process");
--- /dev/null
+++ b/crates/cli/tests/unruly_peers.rs
@@ -0,0 +1,70 @@
+//! Peers of a controller on a platform that send without pause or send only a part of a message: when other peers get
+//! their answers, and how much memory the controller takes.
+
+#[path = "common/platform.rs"]
+mod common;
+#[path = "common/memory.rs"]
+mod memory;
+
+use common::{ready_nodes, ControllerProcess, DiscoveryAgent, Peer};
+use memory::{peak_resident_kib, resident_kib};
+use std::io::Write;
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+
+/// The time by which the platform extends the time limits of its rules.
+const ANSWER_TIME_MAX: Duration = Duration::from_millis(300);
+/// Descriptors that the configuration allows the controller.
+const SOCKETS: usize = 256;
+
+fn encode(text: &str) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    wheelspread_resp::encode(&text.split(' ').collect::<Vec<_>>(), &mut bytes);
+    bytes
+}
+
+/// The longest time that a ping on a new connection takes until `end`.
+fn slowest_ping(controller: &ControllerProcess, end: Instant) -> Duration {
+    let mut slowest = Duration::ZERO;
+    while Instant::now() < end {
+        let begin = Instant::now();
+        let mut peer = Peer::dial(controller.listen);
+        peer.send("ping");
+        peer.receive_until("pong");
+        slowest = slowest.max(begin.elapsed());
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    slowest
+}
+
+// One connection was closed in each turn while hundreds went on to fill their buffers.
+#[test]
+fn peers_that_send_half_of_a_large_message_take_no_more_memory_than_the_limit() {
+    /// A quarter of the 32 MB that the configuration allows.
+    const BUFFERS_KIB: u64 = 8 << 10;
+    /// Memory of the process beside the buffers: connections, and what the allocator keeps.
+    const OTHER_KIB: u64 = 8 << 10;
+    let agent = DiscoveryAgent::start(ready_nodes(&["s1", "s2"]));
+    let controller = ControllerProcess::start(agent.address, SOCKETS);
+    let before = resident_kib(controller.id());
+    let mut message = encode("collector az a");
+    message.extend(b"*63\r\n$5\r\nheard\r\n$900000\r\n");
+    message.resize(600_000, b'x');
+    let mut senders: Vec<(TcpStream, usize)> = (0..150)
+        .map(|_| {
+            let stream = TcpStream::connect(controller.listen).expect("the process listens");
+            stream.set_nonblocking(true).expect("set");
+            (stream, 0)
+        })
+        .collect();
+    let end = Instant::now() + Duration::from_secs(2);
+    while Instant::now() < end {
+        for (stream, sent) in &mut senders {
+            *sent += stream.write(&message[*sent..]).unwrap_or(0);
+        }
+    }
+    let slowest = slowest_ping(&controller, Instant::now() + Duration::from_millis(500));
+    assert!(slowest < ANSWER_TIME_MAX, "{slowest:?}");
+    let growth = peak_resident_kib(controller.id()).saturating_sub(before);
+    assert!(growth < BUFFERS_KIB + OTHER_KIB, "grown by {growth} KiB");
+}
--- a/crates/platform/src/service/connections.rs
+++ b/crates/platform/src/service/connections.rs
@@ -29,6 +29,7 @@
         // Messages that the peer sent before closing must be processed, so they are read before a write can fail.
         if ready.readable || ready.closed {
             self.read(now, id);
+            self.limit_buffers(now);
         }
         if ready.writable {
             self.flush(now, id);
@@ -39,6 +40,7 @@
     pub(super) fn continue_reads(&mut self, now: Moment) {
         for id in self.connections.take_more_to_read() {
             self.read(now, id);
+            self.limit_buffers(now);
         }
     }
 
--- a/crates/platform/src/service/maintenance.rs
+++ b/crates/platform/src/service/maintenance.rs
@@ -39,14 +39,15 @@
         }
     }
 
-    /// Closes the connection with the largest buffers if all buffers together exceed their limit, so that peers that
-    /// read slowly can't use up the memory.
-    fn limit_buffers(&mut self, now: Moment) {
+    /// Closes the connections with the largest buffers while all buffers together exceed their limit, so that peers that
+    /// read slowly, or send half of large messages, can't use up the memory. To be called after each read: hundreds of
+    /// connections may be read in one iteration.
+    pub(super) fn limit_buffers(&mut self, now: Moment) {
         let max = self.config.memory_limit as f64 * BUFFER_MEMORY_RATIO;
-        if self.connections.buffer_bytes() as f64 <= max {
-            return;
-        }
-        if let Some(id) = self.connections.with_largest_buffers() {
+        while self.connections.buffer_bytes() as f64 > max {
+            let Some(id) = self.connections.with_largest_buffers() else {
+                return;
+            };
             self.close(
                 now,
                 id,
