Answer the pings of one read together, and shorten a connection's turn

Beside one connection that pings without pause, other pings take 257 ms. Cause: a write for each pong, and 256 KiB of pings in one turn. Evidence: the same bytes as reports under new names, unknown kinds or empty arrays delay others by 9 to 17 ms. Change: pongs of one read leave in one write; a turn reads 64 KiB; the last read before closing still takes 256 KiB.

--- a/crates/cli/tests/unruly_peers.rs
+++ b/crates/cli/tests/unruly_peers.rs
@@ -8,7 +8,7 @@
 
 use common::{ready_nodes, ControllerProcess, DiscoveryAgent, Peer};
 use memory::{peak_resident_kib, resident_kib};
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
@@ -37,6 +37,56 @@
     slowest
 }
 
+/// Sends `messages` over and over on one connection that also reads, until `end`.
+fn flood(controller: &ControllerProcess, messages: Vec<u8>, end: Instant) {
+    let mut sender = TcpStream::connect(controller.listen).expect("the process listens");
+    sender.write_all(&encode("collector az a")).expect("sent");
+    let mut receiver = sender.try_clone().expect("cloned");
+    std::thread::spawn(move || {
+        let mut buffer = vec![0; 1 << 20];
+        while receiver.read(&mut buffer).is_ok_and(|count| count > 0) {}
+    });
+    std::thread::spawn(
+        move || while Instant::now() < end && sender.write_all(&messages).is_ok() {},
+    );
+}
+
+// Each ping was answered by a write of its own, for 256 KiB of pings in one turn.
+#[test]
+fn a_peer_that_sends_pings_without_pause_delays_no_other() {
+    let agent = DiscoveryAgent::start(ready_nodes(&["s1", "s2"]));
+    let controller = ControllerProcess::start(agent.address, SOCKETS);
+    let end = Instant::now() + Duration::from_secs(3);
+    flood(&controller, encode("ping").repeat(4096), end);
+    let slowest = slowest_ping(&controller, end);
+    assert!(slowest < ANSWER_TIME_MAX, "{slowest:?}");
+}
+
+// Guards the limit of a turn: reports that name ever new nodes, and messages that are no reports.
+#[test]
+fn a_peer_that_sends_new_names_and_unknown_messages_without_pause_delays_no_other() {
+    let agent = DiscoveryAgent::start(ready_nodes(&["s1", "s2"]));
+    let controller = ControllerProcess::start(agent.address, SOCKETS);
+    let before = resident_kib(controller.id());
+    let end = Instant::now() + Duration::from_secs(3);
+    let messages: Vec<u8> = (0..20_000)
+        .flat_map(|number| {
+            let report = format!("heard az a host new-{number} n 5 bad 5 window 1000");
+            [
+                encode(&report),
+                encode(&format!("kind-{number} a b")),
+                b"*0\r\n".to_vec(),
+            ]
+            .concat()
+        })
+        .collect();
+    flood(&controller, messages, end);
+    let slowest = slowest_ping(&controller, end);
+    assert!(slowest < ANSWER_TIME_MAX, "{slowest:?}");
+    let growth = peak_resident_kib(controller.id()).saturating_sub(before);
+    assert!(growth < 8 << 10, "grown by {growth} KiB");
+}
+
 // One connection was closed in each turn while hundreds went on to fill their buffers.
 #[test]
 fn peers_that_send_half_of_a_large_message_take_no_more_memory_than_the_limit() {
--- a/crates/platform/src/connection.rs
+++ b/crates/platform/src/connection.rs
@@ -19,7 +19,9 @@
 };
 /// Bytes that are read from one connection in an iteration of the event loop, so that other connections are not
 /// delayed. The limit is checked between reads.
-const READ_BYTES_PER_ITERATION_MAX: usize = 256 << 10;
+pub const READ_BYTES_PER_ITERATION_MAX: usize = 64 << 10;
+/// As above, for the last read before a connection is closed: what the peer has sent until then still counts.
+pub const FINAL_READ_BYTES_MAX: usize = 256 << 10;
 /// Bytes of output that may wait for a peer that does not read.
 const UNREAD_OUTPUT_BYTES_MAX: usize = 128 << 10;
 
@@ -96,10 +98,11 @@
         self.decoder.set_limits(IDENTIFIED_LIMITS);
     }
 
-    /// Reads available bytes, up to the limit of one event loop iteration, and feeds the decoder. `process_messages`
-    /// is called after each read to take out the complete messages. Returns whether there may be more to read.
+    /// Reads available bytes, up to `max_bytes`, and feeds the decoder. `process_messages` is called after each read to
+    /// take out the complete messages. Returns whether there may be more to read.
     pub fn read<F>(
         &mut self,
+        max_bytes: usize,
         scratch: &mut [u8],
         mut process_messages: F,
     ) -> Result<bool, ConnectionError>
@@ -107,7 +110,7 @@
         F: FnMut(&mut Connection) -> Result<(), ConnectionError>,
     {
         let mut total = 0;
-        while total < READ_BYTES_PER_ITERATION_MAX {
+        while total < max_bytes {
             match self.stream.read(scratch) {
                 Ok(0) => return Err(ConnectionError::PeerClosed),
                 Ok(count) => {
@@ -129,7 +132,17 @@
     /// Appends bytes to the output and flushes it. Bytes that the kernel does not accept yet stay buffered, up to a
     /// limit.
     pub fn write(&mut self, bytes: &[u8]) -> Result<(), ConnectionError> {
+        self.queue(bytes);
+        self.flush_within_limit()
+    }
+
+    /// Appends bytes to the output, to be flushed together with others.
+    pub fn queue(&mut self, bytes: &[u8]) {
         self.output.extend_from_slice(bytes);
+    }
+
+    /// Flushes the output, and fails if more than the limit of unread output remains.
+    pub fn flush_within_limit(&mut self) -> Result<(), ConnectionError> {
         self.flush()?;
         if self.output.len() - self.written > UNREAD_OUTPUT_BYTES_MAX {
             return Err(ConnectionError::UnreadOutput);
--- a/crates/platform/src/service/connections.rs
+++ b/crates/platform/src/service/connections.rs
@@ -2,7 +2,9 @@
 
 use super::Service;
 use crate::close_reason::{CloseReason, FinalRead};
-use crate::connection::{Connection, ConnectionError};
+use crate::connection::{
+    Connection, ConnectionError, FINAL_READ_BYTES_MAX, READ_BYTES_PER_ITERATION_MAX,
+};
 use std::fmt::Display;
 use tracing::debug;
 use wheelspread::time::Moment;
@@ -46,10 +48,14 @@
 
     /// Reads and processes messages up to the limit per iteration, and closes the connection on an error.
     pub(super) fn read(&mut self, now: Moment, id: ConnectionId) {
+        self.read_up_to(READ_BYTES_PER_ITERATION_MAX, now, id);
+    }
+
+    fn read_up_to(&mut self, max_bytes: usize, now: Moment, id: ConnectionId) {
         let (core, scratch) = (&mut self.core, &mut self.scratch);
         let mut effects = ReadEffects::default();
         let result = self.connections.update(id, |connection| {
-            connection.read(scratch, |connection| {
+            connection.read(max_bytes, scratch, |connection| {
                 process_messages(now, id, connection, core, &mut effects)
             })
         });
@@ -110,7 +116,7 @@
     ) -> bool {
         let obligations = reason.obligations();
         if obligations.final_read != FinalRead::Skip {
-            self.read(now, id);
+            self.read_up_to(FINAL_READ_BYTES_MAX, now, id);
         }
         if obligations.final_read == FinalRead::KeepIfIdentified
             && !self.connections.is_unidentified(id)
@@ -137,13 +143,26 @@
     }
 }
 
-/// Passes the complete messages of a connection to the core.
+/// Passes the complete messages of a connection to the core, and sends the answers to its pings together: a write for
+/// each ping would take longer than all the rest.
 fn process_messages(
     now: Moment,
     id: ConnectionId,
     connection: &mut Connection,
     core: &mut ControllerCore,
     effects: &mut ReadEffects,
+) -> Result<(), ConnectionError> {
+    let result = take_messages(now, id, connection, core, effects);
+    let flushed = flush_answers(connection);
+    result.and(flushed)
+}
+
+fn take_messages(
+    now: Moment,
+    id: ConnectionId,
+    connection: &mut Connection,
+    core: &mut ControllerCore,
+    effects: &mut ReadEffects,
 ) -> Result<(), ConnectionError> {
     while let Some(strings) = connection.decoder.next_message()? {
         match core.handle_message(now, id, &strings) {
@@ -152,7 +171,7 @@
                 connection.mark_identified();
                 effects.identified = true;
             }
-            MessageOutcome::Pong => send_pong(connection)?,
+            MessageOutcome::Pong => connection.queue(PONG),
             MessageOutcome::Close(reason) => {
                 effects.rejected += 1;
                 return Err(ConnectionError::Rejected(reason));
@@ -164,8 +183,8 @@
 
 /// Only a peer that does not read its answers is an error here. Other write errors are ignored: messages that the peer
 /// sent before closing must still be processed, and the read then detects the end of the connection.
-fn send_pong(connection: &mut Connection) -> Result<(), ConnectionError> {
-    match connection.write(PONG) {
+fn flush_answers(connection: &mut Connection) -> Result<(), ConnectionError> {
+    match connection.flush_within_limit() {
         Err(ConnectionError::UnreadOutput) => Err(ConnectionError::UnreadOutput),
         _ => Ok(()),
     }
