Limit the buffers of all streams to a controller together

Cause: limits for a stream, a connection and the number of connections, none for all buffers; 100 streams with heads of 16 KiB. Change: conductor.buffers_at_most (128 MiB); above it the largest stream ends. 16 streams a connection (a proxy needs two), heads of 8 KiB. A turn ends after 16 KiB or 128 steps and goes on after the loop has polled.

--- a/crates/controller/src/file/settings.rs
+++ b/crates/controller/src/file/settings.rs
@@ -11,6 +11,10 @@
 
 /// Default of `conductor.connections_at_most`.
 const DEFAULT_CONNECTION_LIMIT: usize = 10_000;
+/// Default of `conductor.buffers_at_most`, in bytes.
+const DEFAULT_BUFFER_LIMIT: usize = 128 << 20;
+/// Minimum of `conductor.buffers_at_most`, in bytes: two messages of maximum length.
+pub const MIN_BUFFER_LIMIT: usize = 2 * wheelspread_grpc::MAX_MESSAGE_BYTES;
 /// Time until an unfinished write of a change is retried, as a ratio of `changes.apply_at_most`, the time that a change
 /// may take to reach every proxy.
 const WRITE_DEADLINE_RATIO: f64 = 0.2;
@@ -68,12 +72,20 @@
     /// Maximum count of open proxy connections; further ones are rejected.
     #[serde(default = "default_connection_limit")]
     pub connections_at_most: usize,
+    /// Maximum size in bytes of the buffers of all proxy connections together. Above it, the stream with the largest
+    /// buffers is closed.
+    #[serde(default = "default_buffer_limit")]
+    pub buffers_at_most: usize,
 }
 
 fn default_connection_limit() -> usize {
     DEFAULT_CONNECTION_LIMIT
 }
 
+fn default_buffer_limit() -> usize {
+    DEFAULT_BUFFER_LIMIT
+}
+
 /// Keys of the proxies' listener. The files may be replaced at any time and are then loaded again.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/controller/src/file/validate.rs
+++ b/crates/controller/src/file/validate.rs
@@ -1,5 +1,6 @@
 //! Validates the values of a file that was parsed.
 
+use super::settings::MIN_BUFFER_LIMIT;
 use super::{ChangeSettings, ControllerFile};
 use tracing_subscriber::EnvFilter;
 use wheelspread::time::Span;
@@ -64,6 +65,10 @@
                 "should be above 0",
             ));
         }
+        if self.conductor.buffers_at_most < MIN_BUFFER_LIMIT {
+            let message = format!("should be at least {MIN_BUFFER_LIMIT} bytes");
+            errors.push(FieldError::new("conductor.buffers_at_most", message));
+        }
         errors
     }
 
--- a/crates/controller/src/service/startup.rs
+++ b/crates/controller/src/service/startup.rs
@@ -267,6 +267,7 @@
     Streams::new(
         CONNECTIONS,
         file.conductor.connections_at_most,
+        file.conductor.buffers_at_most,
         file.deployment.load_reports.period,
     )
 }
--- a/crates/controller/src/streams.rs
+++ b/crates/controller/src/streams.rs
@@ -2,8 +2,10 @@
 //! proxy on each stream has identified itself, and closes load report streams that have been silent for too long;
 //! `receive` handles messages that arrive on streams.
 
+mod buffers;
 mod receive;
 
+use buffers::BufferAccount;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::TcpStream;
 use std::sync::Arc;
@@ -32,6 +34,9 @@
 /// Time between two checks for silent streams and due connections. Each check visits every stream, which takes a
 /// noticeable time with thousands of them.
 const MAINTENANCE_INTERVAL: Span = Span::from_seconds(0.25);
+/// Number of times that a connection is processed before the event loop polls again: once to read it, and once to send
+/// what that caused.
+const MAX_PASSES: usize = 2;
 /// Longest part of a client's node id that an error shows, in characters.
 const SHOWN_NAME_CHARS: usize = 100;
 
@@ -77,6 +82,9 @@
     writable: BTreeSet<StreamId>,
     /// Connections that are readable, were just accepted, or have something new to send.
     ready: Vec<Token>,
+    /// Connections whose last turn ended at its limits. They continue after the event loop has polled again.
+    deferred: BTreeSet<Token>,
+    buffers: BufferAccount,
     last_token: u64,
     last_stream: u64,
     limits: Limits,
@@ -87,8 +95,14 @@
 }
 
 impl Streams {
-    /// Connections get the tokens above `first`; load reports are due every `report_period`.
-    pub fn new(first: Token, connection_limit: usize, report_period: Span) -> Streams {
+    /// Connections get the tokens above `first`; `buffer_limit` is in bytes; load reports are due every
+    /// `report_period`.
+    pub fn new(
+        first: Token,
+        connection_limit: usize,
+        buffer_limit: usize,
+        report_period: Span,
+    ) -> Streams {
         let silence_limit = report_period * SILENCE_LIMIT.periods;
         Streams {
             connections: BTreeMap::new(),
@@ -98,6 +112,8 @@
             discovery_requests: Vec::new(),
             writable: BTreeSet::new(),
             ready: Vec::new(),
+            deferred: BTreeSet::new(),
+            buffers: BufferAccount::new(buffer_limit),
             last_token: first.0,
             last_stream: 0,
             limits: Limits::default(),
@@ -165,22 +181,29 @@
 
     /// Whether a connection is waiting to be read or written, so that the loop must not sleep.
     pub fn has_ready_connections(&self) -> bool {
-        !self.ready.is_empty()
+        !self.ready.is_empty() || !self.deferred.is_empty()
     }
 
-    /// Reads and writes all connections that are ready or due.
+    /// Reads and writes the connections that are ready or due, each up to the limits of one turn. What remains is done
+    /// after the event loop has polled again, so that a client that sends without pause delays no other.
     pub fn process_ready(&mut self, now: Moment, observations: &mut Vec<Observation>) {
         if now >= self.maintenance_at {
             self.maintenance_at = now + MAINTENANCE_INTERVAL;
             self.mark_due_connections(now);
             self.close_silent_streams(now);
         }
-        while !self.ready.is_empty() {
+        self.ready.extend(std::mem::take(&mut self.deferred));
+        for _ in 0..MAX_PASSES {
             let mut ready = std::mem::take(&mut self.ready);
             ready.sort();
             ready.dedup();
             for token in ready {
-                self.process_connection(now, token, observations);
+                if !self.deferred.contains(&token) {
+                    self.process_connection(now, token, observations);
+                }
+            }
+            if self.ready.is_empty() {
+                return;
             }
         }
     }
@@ -205,6 +228,9 @@
             return;
         };
         let (events, close_reason) = connection.turn(now);
+        if connection.has_more() {
+            self.deferred.insert(token);
+        }
         for event in events {
             match event {
                 ServerEvent::Opened { stream, path } => {
@@ -225,6 +251,7 @@
             debug!(connection = token.0, reason, "connection closed");
             self.connections.remove(&token);
         }
+        self.limit_buffers(token);
     }
 
     fn remove_stream(
--- a/crates/grpc/src/frame.rs
+++ b/crates/grpc/src/frame.rs
@@ -50,6 +50,15 @@
         self.buffer.len()
     }
 
+    /// Bytes of memory reserved for an incomplete message: its whole length, once its header is read.
+    pub fn reserved_bytes(&self) -> usize {
+        if self.buffer.is_empty() {
+            0
+        } else {
+            self.buffer.capacity()
+        }
+    }
+
     /// Returns the next complete message. A message that is too long is rejected as soon as its header is read.
     pub fn take_message(&mut self) -> Result<Option<Bytes>, FrameError> {
         let Some(head) = self.buffer.first_chunk::<HEADER_BYTES>() else {
@@ -67,7 +76,10 @@
                 max: self.max_message_bytes,
             });
         }
-        if self.buffer.len() < HEADER_BYTES + length {
+        let missing = (HEADER_BYTES + length).saturating_sub(self.buffer.len());
+        if missing > 0 {
+            // Without this, the buffer doubles as it grows, and holds its content twice while it is moved.
+            self.buffer.reserve(missing);
             return Ok(None);
         }
         let mut message = self.buffer.split_to(HEADER_BYTES + length);
--- a/crates/grpc/src/lib.rs
+++ b/crates/grpc/src/lib.rs
@@ -3,7 +3,8 @@
 //! [`ServerConnection`] and [`ClientConnection`] each own a non-blocking socket. The event loop calls `turn` when
 //! the socket is ready or after queueing a message, and gets events back; connections never wake the loop. The
 //! memory that a peer can occupy is bounded: per stream by one message of maximum length and the send queue, and
-//! by the maximum number of streams.
+//! by the maximum number of streams. The owner bounds that of all connections with `buffer_bytes` and
+//! `close_largest`.
 
 mod client;
 mod error;
@@ -24,8 +25,9 @@
 pub use rustls::{ClientConfig, ServerConfig};
 use wheelspread::time::Span;
 
-/// Maximum size of the header list of a request or response.
-const MAX_HEADER_LIST_BYTES: u32 = 16 << 10;
+/// Maximum size of the header list of a request or response. In memory, a list of many short fields takes several times
+/// its size.
+const MAX_HEADER_LIST_BYTES: u32 = 8 << 10;
 
 /// Flow-control window of a stream.
 const STREAM_WINDOW_BYTES: u32 = 256 << 10;
@@ -63,7 +65,7 @@
     fn default() -> Self {
         Limits {
             max_message_bytes: MAX_MESSAGE_BYTES,
-            max_streams: 100,
+            max_streams: 16,
             max_queued_bytes: 1 << 20,
             progress_timeout: Span::from_seconds(10.0),
             client_keepalive: KeepAlive {
--- a/crates/grpc/src/server.rs
+++ b/crates/grpc/src/server.rs
@@ -4,7 +4,7 @@
 
 use crate::error::ConnectionError;
 use crate::io::{PeerCertificate, Socket};
-use crate::{Limits, Status, MAX_HEADER_LIST_BYTES, MAX_STEPS_PER_TURN, STREAM_WINDOW_BYTES};
+use crate::{Limits, Status, MAX_HEADER_LIST_BYTES, STREAM_WINDOW_BYTES};
 use bytes::Bytes;
 use h2::server::{Connection, Handshake, SendResponse};
 use h2::{Ping, PingPong, RecvStream};
@@ -55,8 +55,15 @@
     Closed,
 }
 
-/// Flow-control window of a connection, shared by all its streams.
-const CONNECTION_WINDOW_BYTES: u32 = 1 << 20;
+/// Flow-control window of a connection, shared by all its streams. It bounds the bytes received in one step.
+const CONNECTION_WINDOW_BYTES: u32 = STREAM_WINDOW_BYTES;
+
+/// Maximum number of steps per turn. A step accepts one stream, and the heads of streams that are not accepted yet stay
+/// in memory, so a turn accepts as many streams as a connection may have.
+const MAX_STEPS_PER_TURN: usize = 128;
+
+/// Number of received message bytes after which a turn ends.
+const MAX_BYTES_PER_TURN: usize = 16 << 10;
 
 /// Maximum number of reset streams that are remembered, to ignore frames for them that are still in transit.
 const MAX_RESET_STREAMS: usize = 20;
@@ -78,6 +85,10 @@
     pings: Option<PingPong>,
     ping_sent_at: Option<Moment>,
     last_received_at: Moment,
+    /// Message bytes received in the current turn.
+    turn_bytes: usize,
+    /// Whether the last turn ended at its limits.
+    has_more: bool,
 }
 
 impl ServerConnection {
@@ -130,19 +141,27 @@
             pings: None,
             ping_sent_at: None,
             last_received_at: now,
+            turn_bytes: 0,
+            has_more: false,
         }
     }
 
-    /// Reads and writes until the socket would block. Returns the events and, if the connection is closed, the
-    /// reason.
+    /// Reads and writes until the socket would block or the limits of a turn are reached. Returns the events and, if the
+    /// connection is closed, the reason.
     pub fn turn(&mut self, now: Moment) -> (Vec<ServerEvent>, Option<String>) {
         let mut context = Context::from_waker(Waker::noop());
         // Progress in one part may unblock another, so all are polled until none makes progress.
+        self.turn_bytes = 0;
+        self.has_more = true;
         for _ in 0..MAX_STEPS_PER_TURN {
             let has_progressed = self.poll_connection(&mut context)
                 | self.read_streams(now, &mut context)
                 | self.write_streams(&mut context);
             if !has_progressed || self.failure.is_some() {
+                self.has_more = false;
+                break;
+            }
+            if self.turn_bytes >= MAX_BYTES_PER_TURN {
                 break;
             }
         }
@@ -244,8 +263,9 @@
                 let stream = *key;
                 self.events.push(ServerEvent::Message { stream, bytes });
             });
-            if result.has_received {
+            if result.received_bytes > 0 {
                 self.last_received_at = now;
+                self.turn_bytes += result.received_bytes;
             }
             has_progressed |= result.has_progressed;
             ends.extend(result.end.map(|end| (*key, end)));
@@ -294,6 +314,26 @@
         true
     }
 
+    /// Whether the last turn ended at its limits, so that another one is due though the socket does not become ready.
+    pub fn has_more(&self) -> bool {
+        self.has_more
+    }
+
+    /// Bytes of memory taken by incomplete messages and by messages to send.
+    pub fn buffer_bytes(&self) -> usize {
+        self.streams.values().map(Stream::buffer_bytes).sum()
+    }
+
+    /// Closes the stream with the largest buffers. Returns `false` if no stream has any.
+    pub fn close_largest(&mut self, status: Status, reason: &str) -> bool {
+        let sizes = self
+            .streams
+            .iter()
+            .map(|(key, stream)| (stream.buffer_bytes(), *key));
+        let largest = sizes.max().filter(|(bytes, _)| *bytes > 0);
+        largest.is_some_and(|(_, key)| self.close(key, status, reason))
+    }
+
     /// Starts a graceful shutdown: new streams are not accepted, open streams stay open.
     pub fn stop(&mut self) {
         if let (State::Open(connection), false) = (&mut self.state, self.is_stopping) {
--- a/crates/grpc/src/server/stream.rs
+++ b/crates/grpc/src/server/stream.rs
@@ -12,6 +12,9 @@
 /// Maximum length of a reason sent to a peer; the rest is cut off.
 const MAX_REASON_CHARS: usize = 200;
 
+/// Number of bytes after which one read of a stream ends. They may hold thousands of messages.
+const MAX_BYTES_PER_READ: usize = 16 << 10;
+
 pub(super) struct Stream {
     receive: RecvStream,
     send: SendStream<Bytes>,
@@ -32,8 +35,8 @@
 /// The result of reading from a stream.
 #[derive(Default)]
 pub(super) struct ReadResult {
-    /// Data arrived.
-    pub has_received: bool,
+    /// Number of bytes that arrived.
+    pub received_bytes: usize,
     /// Data or the stream's end arrived.
     pub has_progressed: bool,
     pub end: Option<StreamEnd>,
@@ -52,7 +55,7 @@
         }
     }
 
-    /// Reads all data that has arrived.
+    /// Reads the data that has arrived, up to `MAX_BYTES_PER_READ`.
     pub fn read(
         &mut self,
         now: Moment,
@@ -60,10 +63,11 @@
         mut on_message: impl FnMut(Bytes),
     ) -> ReadResult {
         let mut result = ReadResult::default();
-        while !self.has_ended && result.end.is_none() {
+        while !self.has_ended && result.end.is_none() && result.received_bytes < MAX_BYTES_PER_READ
+        {
             match self.receive.poll_data(context) {
                 Poll::Ready(Some(Ok(piece))) => {
-                    result.has_received = true;
+                    result.received_bytes += piece.len();
                     result.has_progressed = true;
                     result.end = self.receive_piece(now, &piece, &mut on_message);
                 }
@@ -138,6 +142,11 @@
         self.partial_since
     }
 
+    /// Bytes of memory taken by an incomplete message and by messages to send.
+    pub fn buffer_bytes(&self) -> usize {
+        self.deframer.reserved_bytes() + self.queue.bytes()
+    }
+
     /// Queues a message if the queue would not exceed `limit` bytes; returns whether it was queued.
     pub fn send(&mut self, message: &[u8], limit: usize) -> bool {
         if self.queue.bytes() + message.len() > limit {
