Drop the pipelined requests of a client that has left a proxy

A client sends 40 requests of 60 kB and closes; the proxy sends the second to a node after the close, so that it runs twice when the client comes again. Cause: a close behind more than 64 KiB of unread requests was not known when the next request was started. Change: readiness tells that the peer has closed its side; pipelined requests are then dropped, also after a reset. Test: no_request_is_sent_on.. failed before (the node got 60,072 bytes of another request); pipelined_requests_of_a_client_that_stays.. is a guard and passed before.

--- a/crates/cli/tests/unruly_clients.rs
+++ b/crates/cli/tests/unruly_clients.rs
@@ -7,7 +7,7 @@
 mod proxy;
 
 use memory::{peak_resident_kib, resident_kib};
-use proxy::{equal_weights, read_until, ProxyProcess};
+use proxy::{equal_weights, read_until, start_with_manual_node, ProxyProcess};
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
@@ -122,3 +122,56 @@
     let request = [b"GET /quote HTTP/1.1\r\nHost: a\r\n".as_slice(), &fields].concat();
     hold_incomplete_requests(&request, 400);
 }
+
+/// Sends 40 requests of 60 kB at once, of which the proxy reads only a part while the node has not answered the first.
+fn send_pipelined(client: &mut TcpStream) {
+    let mut request =
+        b"POST /book HTTP/1.1\r\nHost: a\r\nx-request-id: 1\r\nContent-Length: 60000\r\n\r\n"
+            .to_vec();
+    request.resize(request.len() + 60_000, b'x');
+    client.write_all(&request.repeat(40)).expect("sent");
+}
+
+// The proxy read on in the requests of a client that had closed its connection, and started the next one.
+#[test]
+fn no_request_is_sent_on_after_its_client_has_left() {
+    let (listener, proxy) = start_with_manual_node(RetryPolicy::Never);
+    let mut client = proxy.client();
+    send_pipelined(&mut client);
+    let (mut node, _) = listener.accept().expect("connection accepted");
+    read_until(&mut node, "\r\n\r\n");
+    node.read_exact(&mut vec![0; 60_000]).expect("the body");
+    drop(client);
+    std::thread::sleep(Duration::from_millis(100));
+    node.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        .expect("sent");
+    node.set_read_timeout(Some(Duration::from_secs(1)))
+        .expect("set");
+    let mut rest = Vec::new();
+    let read = node.read_to_end(&mut rest);
+    assert!(
+        rest.is_empty(),
+        "the node got {} bytes of another request, then {read:?}",
+        rest.len()
+    );
+}
+
+// Guards pipelines of clients that stay: each request is sent on.
+#[test]
+fn pipelined_requests_of_a_client_that_stays_are_all_sent_on() {
+    let nodes = FastNodes::start(1, true, 1).expect("nodes");
+    let proxy = ProxyProcess::new("", &equal_weights(&nodes), RetryPolicy::Never);
+    let mut client = proxy.client();
+    let sending = client.try_clone().expect("cloned");
+    let sender = std::thread::spawn(move || {
+        let mut sending = sending;
+        send_pipelined(&mut sending);
+        sending
+    });
+    for _ in 0..40 {
+        // The text begins with the body of the response before.
+        let text = read_until(&mut client, "\r\n\r\n");
+        assert_eq!(text.matches("HTTP/1.1 200").count(), 1, "{text}");
+    }
+    sender.join().expect("sent");
+}
--- a/crates/proxy/src/client.rs
+++ b/crates/proxy/src/client.rs
@@ -68,6 +68,11 @@
     /// When bytes were last read or written, or a response was last queued.
     pub last_activity_at: Moment,
     read_state: ReadState,
+    /// Whether the client is known to have closed its sending side, though bytes that it sent before may be unread. It may
+    /// still read, so a request that has begun is answered, but no pipelined one is started.
+    pub has_left: bool,
+    /// Whether bytes of the next request arrived before the previous one was answered.
+    has_pipelined: bool,
     /// Whether the last turn ended at its limits, so that the next one takes place in the next iteration of the event
     /// loop.
     pub is_deferred: bool,
@@ -87,6 +92,8 @@
             pending: None,
             last_activity_at: now,
             read_state: ReadState::NEW,
+            has_left: false,
+            has_pipelined: false,
             is_deferred: false,
             counted_buffer_bytes: 0,
         }
@@ -129,9 +136,33 @@
 
     /// Whether the client closed its sending side. It may still read.
     pub fn peer_closed(&self) -> bool {
+        self.has_left || self.read_state.peer_closed
+    }
+
+    /// Whether everything that the client sent was read, and nothing follows.
+    fn has_reached_end(&self) -> bool {
         self.read_state.peer_closed
     }
 
+    /// Takes note that a request was answered: bytes that have arrived already belong to pipelined ones.
+    pub fn on_answered(&mut self) {
+        self.has_pipelined = !self.input.is_empty() || self.read_state.may_have_more;
+    }
+
+    /// Whether the client left before its pipelined requests were started. They must not be started: the client does
+    /// not wait for them, and may send them again.
+    pub fn has_abandoned_requests(&mut self) -> bool {
+        if !self.has_pipelined {
+            return false;
+        }
+        if self.input.is_empty() && !self.read_state.may_have_more {
+            self.has_pipelined = false;
+            return false;
+        }
+        // A client that closed its socket with responses unread answers the next one with a reset.
+        self.peer_closed() || self.socket.take_error().is_ok_and(|error| error.is_some())
+    }
+
     /// Appends bytes to the output.
     pub fn queue(&mut self, bytes: &[u8]) {
         self.output.extend_from_slice(bytes);
@@ -193,7 +224,7 @@
     pub fn is_finished(&self) -> bool {
         let is_closing = matches!(self.stage, Stage::Closing);
         let is_idle = matches!(self.stage, Stage::Head) && self.pending.is_none();
-        self.unsent_bytes() == 0 && (is_closing || (self.peer_closed() && is_idle))
+        self.unsent_bytes() == 0 && (is_closing || (self.has_reached_end() && is_idle))
     }
 
     /// Bytes of memory allocated for the buffers of this connection.
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -152,7 +152,12 @@
             }
             Source::TableStream => self.poll_table_stream(poll, now),
             Source::Upstream(slot) => self.serve_upstream(poll, now, slot, ready.readable),
-            Source::Client(slot) => self.serve_client(poll, now, slot, ready.readable),
+            Source::Client(slot) => {
+                if let Some(client) = self.clients.get_mut(slot) {
+                    client.has_left |= ready.peer_closed;
+                }
+                self.serve_client(poll, now, slot, ready.readable);
+            }
         }
         self.serve_changed_clients(poll, now);
         Ok(())
--- a/crates/proxy/src/proxy/attempts.rs
+++ b/crates/proxy/src/proxy/attempts.rs
@@ -177,6 +177,7 @@
             None => Stage::Closing,
         };
         client.last_activity_at = now;
+        client.on_answered();
     }
 }
 
--- a/crates/proxy/src/proxy/client_side.rs
+++ b/crates/proxy/src/proxy/client_side.rs
@@ -129,9 +129,12 @@
 
     /// Handles the next part of a client's input. Returns `false` if more input is needed or none is expected.
     fn advance_request(&mut self, poll: &Poll, now: Moment, slot: usize) -> bool {
-        let Some(client) = self.clients.get(slot) else {
+        let Some(client) = self.clients.get_mut(slot) else {
             return false;
         };
+        if matches!(client.stage, Stage::Head) && client.has_abandoned_requests() {
+            client.stage = Stage::Closing;
+        }
         match client.stage {
             // A client that does not read its responses has to do so before its next request is handled.
             Stage::Head if client.unsent_bytes() >= MAX_UNSENT_RESPONSE_BYTES => false,
--- a/crates/proxy/src/proxy/upstream_side.rs
+++ b/crates/proxy/src/proxy/upstream_side.rs
@@ -229,6 +229,7 @@
             Stage::Closing
         };
         client.last_activity_at = now;
+        client.on_answered();
         Some(())
     }
 }
--- a/crates/reactor/src/poll.rs
+++ b/crates/reactor/src/poll.rs
@@ -22,6 +22,9 @@
     pub writable: bool,
     /// Whether the peer closed the connection or the socket failed; reading shows which.
     pub closed: bool,
+    /// Whether the peer closed its sending side, the connection, or the socket failed. Unlike the end that reading
+    /// shows, this is known while bytes that the peer sent before are still unread.
+    pub peer_closed: bool,
 }
 
 /// The conditions under which [`Poll::wait`] reports a file descriptor.
@@ -98,6 +101,7 @@
                     .intersects(epoll::EventFlags::IN | epoll::EventFlags::RDHUP | broken),
                 writable: flags.intersects(epoll::EventFlags::OUT | broken),
                 closed: flags.intersects(broken),
+                peer_closed: flags.intersects(epoll::EventFlags::RDHUP | broken),
             }
         }));
         Ok(())
