Let half requests to the operators' API give way to others

Cause: 64 connections for all listeners; at the limit the newcomer was closed. Change: the oldest connection without a complete request gives way after 0.1 s, readers first.

--- a/crates/cli/tests/unruly_streams.rs
+++ b/crates/cli/tests/unruly_streams.rs
@@ -1,5 +1,5 @@
-//! Clients of a controller's listener for proxies that send only a part of large messages, or without pause: how much
-//! memory the controller takes, and when it serves others.
+//! Clients of a controller's listeners, for proxies and for operators, that send only a part of what they begin, or without
+//! pause: how much memory the controller takes, and when it serves others.
 
 mod common;
 #[path = "common/http2.rs"]
@@ -8,6 +8,8 @@
 use common::memory::{peak_resident_kib, resident_kib};
 use common::ControllerProcess;
 use http2::RawConnection;
+use std::io::{Read, Write};
+use std::os::unix::net::UnixStream;
 use std::time::{Duration, Instant};
 use wheelspread_xds::loads;
 
@@ -123,3 +125,40 @@
     let growth = peak_resident_kib(controller.pid()).saturating_sub(half_time_kib);
     assert!(growth < 2 << 10, "grown by {growth} KiB in the second half");
 }
+
+/// Sends a query to the operators' API; returns the response's first line.
+fn query(controller: &ControllerProcess) -> String {
+    let mut socket =
+        UnixStream::connect(controller.path("tables/admin.sock")).expect("the process listens");
+    socket
+        .set_read_timeout(Some(Duration::from_secs(2)))
+        .expect("set");
+    let _ = socket.write_all(b"GET /v1/status HTTP/1.1\r\nHost: x\r\n\r\n");
+    let mut text = String::new();
+    let _ = socket.read_to_string(&mut text);
+    text.lines().next().unwrap_or_default().to_string()
+}
+
+// 64 connections without a complete request kept all operators out for 10 s.
+#[test]
+fn operators_are_served_beside_hundreds_of_half_requests() {
+    let mut controller = ControllerProcess::new();
+    controller.publish_endpoint_list(&[9001], &[]);
+    controller.start();
+    let half_request = |_| {
+        let mut socket =
+            UnixStream::connect(controller.path("tables/read.sock")).expect("the process listens");
+        let _ = socket.write_all(b"GET /v1/status HTTP/1.1\r\n");
+        socket
+    };
+    let mut half_requests: Vec<UnixStream> = (0..300).map(half_request).collect();
+    std::thread::sleep(Duration::from_millis(300));
+    // Connections that were just ending when the first ones came have left room for some more.
+    half_requests.extend((0..10).map(half_request));
+    for _ in 0..5 {
+        let begin = Instant::now();
+        assert_eq!(query(&controller), "HTTP/1.1 200 OK");
+        assert!(begin.elapsed() < ANSWER_TIME_MAX, "{:?}", begin.elapsed());
+    }
+    drop(half_requests);
+}
--- a/crates/controller/src/admin.rs
+++ b/crates/controller/src/admin.rs
@@ -39,8 +39,10 @@
 /// Maximum length of a request in bytes, and of its body. The connection of a longer request is closed; a longer
 /// body is rejected if its length is stated.
 const REQUEST_LIMIT_BYTES: usize = 64 << 10;
-/// Maximum count of open connections; further ones are closed at once.
+/// Maximum count of open connections. At the limit, a connection that has sent no complete request gives way.
 const CONNECTION_LIMIT: usize = 64;
+/// Minimum age of a connection that gives way: a caller needs some time to send its request.
+const EVICTION_GRACE: Span = Span::from_seconds(0.1);
 /// Maximum time from accepting a connection until its answer has been sent; then it is closed.
 const CONNECTION_TIMEOUT: Span = Span::from_seconds(10.0);
 /// Longest part of a request's body that is written to the audit log, in characters.
@@ -105,7 +107,7 @@
     ) {
         let token = Token(self.next_token);
         self.next_token += 1;
-        if self.connections.len() >= CONNECTION_LIMIT {
+        if self.connections.len() >= CONNECTION_LIMIT && !self.evict_one(now) {
             return;
         }
         if poll.add(socket.as_fd(), token, Interest::Edges).is_ok() {
@@ -114,6 +116,23 @@
         }
     }
 
+    /// Closes the oldest connection that has sent no complete request, a reader's before one that may send orders: any
+    /// user of the machine can open readers' connections. Returns `false` if none is old enough.
+    fn evict_one(&mut self, now: Moment) -> bool {
+        let may_give_way = |connection: &AdminConnection| {
+            connection.awaits_request() && now - connection.opened_at() >= EVICTION_GRACE
+        };
+        let evicted = self
+            .connections
+            .iter()
+            .filter(|(_, connection)| may_give_way(connection))
+            .min_by_key(|(token, connection)| (!connection.is_reader(), **token))
+            .map(|(token, _)| *token);
+        evicted
+            .and_then(|token| self.connections.remove(&token))
+            .is_some()
+    }
+
     /// Reads and writes a connection that is ready, and serves its request once the request is complete.
     pub fn handle_ready(&mut self, now: Moment, token: Token, context: &mut AdminContext) {
         let Some(connection) = self.connections.get_mut(&token) else {
--- a/crates/controller/src/admin/connection.rs
+++ b/crates/controller/src/admin/connection.rs
@@ -101,6 +101,11 @@
         self.pending_order
     }
 
+    /// Whether the connection allows only queries.
+    pub fn is_reader(&self) -> bool {
+        self.rights == AccessRights::Read
+    }
+
     /// Whether the request is not served yet.
     pub fn awaits_request(&self) -> bool {
         !self.is_answered && self.pending_order.is_none()
