Keep a bounded number of diagnostics until the next decision

Cause: each left a diagnostic in memory until all connections of an iteration were read. Change: 64 are kept, the others are counted.

--- a/crates/platform-core/src/controller_core.rs
+++ b/crates/platform-core/src/controller_core.rs
@@ -30,6 +30,9 @@
 /// The lower bound of the longest request deadline in that limit.
 const DEADLINE_MIN_SECONDS: f64 = 1.0;
 const OPERATIONS_MAX: usize = 16;
+/// Diagnostics that are kept until the next [`ControllerCore::decide`]; further ones are only counted. Hundreds of
+/// connections may send thousands of invalid messages each in between.
+const DIAGNOSTICS_MAX: usize = 64;
 
 /// Why the core can't start.
 #[derive(Clone, Debug, PartialEq, thiserror::Error)]
@@ -119,6 +122,8 @@
     last_round_at: Option<Moment>,
     next_maintenance_at: Moment,
     outputs: Vec<Output>,
+    /// Diagnostics since the last [`ControllerCore::decide`].
+    diagnostic_count: usize,
 }
 
 impl ControllerCore {
@@ -147,6 +152,7 @@
             last_round_at: None,
             next_maintenance_at: now,
             outputs: Vec::new(),
+            diagnostic_count: 0,
         })
     }
 
@@ -232,7 +238,19 @@
     }
 
     fn report(&mut self, diagnostic: Diagnostic) {
-        self.outputs.push(Output::Diagnostic(diagnostic));
+        self.diagnostic_count += 1;
+        if self.diagnostic_count <= DIAGNOSTICS_MAX {
+            self.outputs.push(Output::Diagnostic(diagnostic));
+        }
+    }
+
+    /// Reports how many diagnostics were not kept.
+    fn report_suppressed(&mut self) {
+        let count = std::mem::take(&mut self.diagnostic_count).saturating_sub(DIAGNOSTICS_MAX);
+        if count > 0 {
+            let diagnostic = Diagnostic::Suppressed { count };
+            self.outputs.push(Output::Diagnostic(diagnostic));
+        }
     }
 
     /// Closes a connection. Its messages are ignored until the caller has closed the socket.
@@ -286,6 +304,7 @@
         if self.is_round_due(now) {
             self.run_round(now);
         }
+        self.report_suppressed();
         std::mem::take(&mut self.outputs)
     }
 
--- a/crates/platform-core/src/output.rs
+++ b/crates/platform-core/src/output.rs
@@ -103,4 +103,10 @@
     /// A log message of the balancer.
     #[error("{0}")]
     Balancer(String),
+    /// More diagnostics arose than are kept.
+    #[error("{count} further diagnostics")]
+    Suppressed {
+        /// Their number.
+        count: usize,
+    },
 }
--- a/crates/platform/src/service.rs
+++ b/crates/platform/src/service.rs
@@ -161,7 +161,10 @@
     }
 
     fn log_diagnostic(&mut self, diagnostic: &Diagnostic) {
-        self.report.counters.diagnostics += 1;
+        self.report.counters.diagnostics += match diagnostic {
+            Diagnostic::Suppressed { count } => *count as u64,
+            _ => 1,
+        };
         debug!(%diagnostic, "diagnostic");
     }
 }
