Count a request's buffers before it is sent to a node

Cause: the limit was enforced after a turn and on incomplete requests only. Change: it is enforced before a request starts.

--- a/crates/cli/tests/unruly_clients.rs
+++ b/crates/cli/tests/unruly_clients.rs
@@ -5,14 +5,17 @@
 mod memory;
 #[path = "common/proxy.rs"]
 mod proxy;
+#[path = "common/senders.rs"]
+mod senders;
 
 use memory::{peak_resident_kib, resident_kib};
 use proxy::{equal_weights, read_until, start_with_manual_node, ProxyProcess};
+use senders::Senders;
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 use wheelspread::RetryPolicy;
-use wheelspread_drill::load::FastNodes;
+use wheelspread_drill::load::{FastNodes, Faults};
 
 const SMALL_REQUEST: &[u8] = b"GET /quote HTTP/1.1\r\nHost: a\r\n\r\n";
 /// The longest time that a small request of another client may take: the integration timeout of its operation.
@@ -71,29 +74,23 @@
     );
 }
 
-/// Sends each of these clients' bytes as far as the proxy takes them within 2 s, then checks that another client
-/// gets its answers and that the proxy has not grown by more than its limit for buffers.
-fn hold_incomplete_requests(request: &[u8], clients: usize) {
-    const BUFFERS_KIB: u64 = 16 << 10;
-    /// Memory of the process beside the buffers: connections, and what the allocator keeps.
-    const OTHER_KIB: u64 = 16 << 10;
+/// Limit of the proxy for the buffers of all clients.
+const BUFFERS_KIB: u64 = 16 << 10;
+/// Memory of the proxy beside the buffers: connections, and what the allocator keeps.
+const OTHER_KIB: u64 = 16 << 10;
+
+/// Sends a request on each of many connections, as far as the proxy takes it within 2 s. Checks meanwhile that another
+/// client gets its answers, and then that the proxy has not grown by more than its limit for buffers.
+fn hold_requests(request: &[u8], clients: usize) {
     let nodes = FastNodes::start(1, false, 1).expect("nodes");
-    let settings = format!("sizes: {{buffers: {}}}", BUFFERS_KIB << 10);
+    let settings = format!(
+        "sizes: {{buffers: {}, connections_per_node: {clients}}}",
+        BUFFERS_KIB << 10
+    );
     let proxy = ProxyProcess::new(&settings, &equal_weights(&nodes), RetryPolicy::Never);
     let before = resident_kib(proxy.id());
-    let mut senders: Vec<(TcpStream, usize)> = (0..clients)
-        .map(|_| {
-            let stream = proxy.client();
-            stream.set_nonblocking(true).expect("set");
-            (stream, 0)
-        })
-        .collect();
-    let end = Instant::now() + Duration::from_secs(2);
-    while Instant::now() < end {
-        for (stream, sent) in &mut senders {
-            *sent += stream.write(&request[*sent..]).unwrap_or(0);
-        }
-    }
+    let mut senders = Senders::connect(proxy.address.into(), clients);
+    senders.send_for(Duration::from_secs(2), request, &[]);
     for _ in 0..10 {
         let begin = Instant::now();
         let mut client = proxy.client();
@@ -106,13 +103,57 @@
     assert!(growth < BUFFERS_KIB + OTHER_KIB, "grown by {growth} KiB");
 }
 
+/// A request whose head announces `announced` bytes of body, with `sent` bytes.
+fn large_request(announced: usize, sent: usize) -> Vec<u8> {
+    let head = format!("POST /quote HTTP/1.1\r\nHost: a\r\nContent-Length: {announced}\r\n\r\n");
+    let mut request = head.into_bytes();
+    request.resize(request.len() + sent, b'x');
+    request
+}
+
 // The buffers of all clients together had no limit: 300 clients that stopped half way took 264 MB.
 #[test]
 fn clients_that_stop_half_way_through_a_request_take_no_more_memory_than_the_limit() {
-    let mut request =
-        b"POST /quote HTTP/1.1\r\nHost: a\r\nContent-Length: 1000000\r\n\r\n".to_vec();
-    request.resize(900_000, b'x');
-    hold_incomplete_requests(&request, 200);
+    hold_requests(&large_request(1_000_000, 900_000), 200);
+}
+
+// Complete requests that wait for a node were not limited: 1500 of 30 kB took 41 MB where 8 MB were allowed.
+#[test]
+fn requests_that_wait_for_a_node_take_no_more_memory_than_the_limit() {
+    const REQUEST_BYTES: usize = 30_000;
+    const BUFFER_BYTES: usize = 1_000_000;
+    let nodes = FastNodes::start(1, false, 1).expect("nodes");
+    let faults = Faults {
+        silent: 1.0,
+        ..Faults::default()
+    };
+    nodes.set_faults(0, faults);
+    let settings = format!(
+        "avoid: {{after_errors: 0}}\nsizes: {{body: 60000, buffers: {BUFFER_BYTES}, connections_per_node: 200}}"
+    );
+    let proxy = ProxyProcess::new(&settings, &equal_weights(&nodes), RetryPolicy::Never);
+    let request = large_request(REQUEST_BYTES, REQUEST_BYTES);
+    let mut clients: Vec<TcpStream> = (0..100).map(|_| proxy.client()).collect();
+    for client in &mut clients {
+        client.write_all(&request).expect("sent");
+    }
+    let answers: Vec<String> = clients
+        .iter_mut()
+        .map(|client| read_until(client, "\r\n\r\n"))
+        .collect();
+    let count = |status: &str| {
+        let start = format!("HTTP/1.1 {status} ");
+        answers
+            .iter()
+            .filter(|text| text.starts_with(&start))
+            .count()
+    };
+    let (waited, rejected) = (count("504"), count("503"));
+    assert_eq!(waited + rejected, clients.len(), "{answers:?}");
+    assert!(
+        (1..=BUFFER_BYTES / REQUEST_BYTES).contains(&waited),
+        "{waited} requests waited for the node"
+    );
 }
 
 // Guards the limit of a head, beside that of all buffers: a head of short fields that never ends.
@@ -120,7 +161,7 @@
 fn clients_with_heads_of_many_short_fields_take_no_more_memory_than_the_limit() {
     let fields = b"a:b\r\n".repeat(3000);
     let request = [b"GET /quote HTTP/1.1\r\nHost: a\r\n".as_slice(), &fields].concat();
-    hold_incomplete_requests(&request, 400);
+    hold_requests(&request, 400);
 }
 
 /// Sends 40 requests of 60 kB at once, of which the proxy reads only a part while the node has not answered the first.
--- a/crates/proxy/src/proxy/buffers.rs
+++ b/crates/proxy/src/proxy/buffers.rs
@@ -43,8 +43,9 @@
 }
 
 impl<W: RequestObserver> Proxy<W> {
-    /// Counts a client's buffers after its turn. While all buffers together exceed their limit, rejects the largest
-    /// incomplete request; if there is none, closes the client with the most unread response bytes.
+    /// Counts a client's buffers, after its turn and before its request starts. While all buffers together exceed their
+    /// limit, rejects the largest request that has not started; if there is none, closes the client with the most unread
+    /// response bytes.
     pub(super) fn limit_buffers(&mut self, poll: &Poll, now: Moment, slot: usize) {
         if let Some(client) = self.clients.get_mut(slot) {
             self.buffers.update(client);
@@ -55,7 +56,7 @@
             } else if let Some(largest) = self.largest_client(Client::unsent_bytes) {
                 self.disconnect_client(poll, now, largest);
             } else {
-                // The rest belongs to complete requests, of which each was within the limit before its last bytes came.
+                // The rest belongs to requests in flight, which were within the limit when they started.
                 return;
             }
         }
@@ -72,7 +73,7 @@
     }
 
     fn reject_for_memory(&mut self, now: Moment, slot: usize) {
-        let message = "too many requests are incomplete";
+        let message = "too many bytes of requests are buffered";
         self.reject_request(now, slot, LocalStatus::BuffersFull, message);
         if let Some(client) = self.clients.get_mut(slot) {
             client.input = Vec::new();
--- a/crates/proxy/src/proxy/client_side.rs
+++ b/crates/proxy/src/proxy/client_side.rs
@@ -190,12 +190,21 @@
                     return false;
                 }
                 let (head, body_length) = (head.clone(), *received);
-                self.start_request(poll, now, slot, &head, body_length);
+                self.limit_buffers(poll, now, slot);
+                if self.is_reading_body(slot) {
+                    self.start_request(poll, now, slot, &head, body_length);
+                }
                 true
             }
         }
     }
 
+    /// Whether a client's request was not rejected.
+    fn is_reading_body(&self, slot: usize) -> bool {
+        let client = self.clients.get(slot);
+        client.is_some_and(|client| matches!(client.stage, Stage::Body { .. }))
+    }
+
     /// Sends an error response and stops reading, because the end of the request is not known.
     pub(super) fn reject_request(
         &mut self,
--- a/crates/proxy/src/proxy/upstream_side.rs
+++ b/crates/proxy/src/proxy/upstream_side.rs
@@ -82,6 +82,10 @@
         let output = self.clients.get_mut(client)?.output();
         output.extend_from_slice(&connection.input[..length]);
         connection.input.drain(..length);
+        if connection.input.is_empty() {
+            // The client may read slowly, and the buffers of all clients are limited.
+            connection.input = Vec::new();
+        }
         if response.body.is_complete() || (is_ended && response.body.ends_with_connection()) {
             self.finish_response(now, slot, client);
             return None;
