Count received data that waits in a controller, and bound observations

Cause: data that the HTTP/2 library holds was not counted, and observations of all connections were collected first. Change: it counts; after 4096 observations the others wait and come first in the next iteration.

--- a/crates/cli/tests/unruly_streams.rs
+++ b/crates/cli/tests/unruly_streams.rs
@@ -11,6 +11,7 @@
 use std::io::{Read, Write};
 use std::os::unix::net::UnixStream;
 use std::time::{Duration, Instant};
+use wheelspread_controller_core::membership::ProxyIdentity;
 use wheelspread_xds::loads;
 
 /// Bytes of a message that is never finished, without its last part.
@@ -39,18 +40,47 @@
     bytes
 }
 
-/// Opens streams with these additional header fields, and sends as much of an unfinished message on each as the
-/// controller takes within 4 s. Checks that the controller stays within its limit for buffers and serves others.
-fn hold_incomplete_messages(connections: usize, streams: usize, fields: usize, message: &[u8]) {
-    const BUFFERS_KIB: u64 = 16 << 10;
-    /// Memory of the process beside the buffers: connections, streams, and what the allocator keeps.
-    const OTHER_KIB: u64 = 24 << 10;
+/// Limit of the controller for the buffers of all connections.
+const BUFFERS_KIB: u64 = 16 << 10;
+/// Memory of the process beside the buffers: connections, streams, and what the allocator keeps.
+const OTHER_KIB: u64 = 24 << 10;
+
+fn start_with_buffers() -> ControllerProcess {
     let mut controller = ControllerProcess::new();
     let limit = format!("list: nodes.json, buffers_at_most: {}", BUFFERS_KIB << 10);
     controller.write_config(&limit);
     controller.publish_endpoint_list(&[9001], &[]);
     controller.start();
     time_to_join(&controller);
+    controller
+}
+
+/// Checks that the controller stayed within its limit for buffers, and serves others.
+fn check_growth(controller: &mut ControllerProcess, before: u64) {
+    let growth = peak_resident_kib(controller.pid()).saturating_sub(before);
+    assert!(growth < BUFFERS_KIB + OTHER_KIB, "grown by {growth} KiB");
+    let joined_in = time_to_join(controller);
+    assert!(joined_in < ANSWER_TIME_MAX, "{joined_in:?}");
+}
+
+/// The first message of a load report stream, with its frame.
+fn identity_message(name: &str) -> Vec<u8> {
+    let identity = ProxyIdentity {
+        name: name.to_string(),
+        zone: "north".to_string(),
+        usual_rate: None,
+    };
+    let message = common::encode(&loads::identity_request(&identity));
+    let mut bytes = vec![0];
+    bytes.extend((message.len() as u32).to_be_bytes());
+    bytes.extend(message);
+    bytes
+}
+
+/// Opens streams with these additional header fields, and sends as much of an unfinished message on each as the
+/// controller takes within 4 s.
+fn hold_incomplete_messages(connections: usize, streams: usize, fields: usize, message: &[u8]) {
+    let mut controller = start_with_buffers();
     let before = resident_kib(controller.pid());
     let fields = vec![("a", "b"); fields];
     let mut clients: Vec<(RawConnection, Vec<(u32, usize)>)> = (0..connections)
@@ -73,10 +103,7 @@
             }
         }
     }
-    let growth = peak_resident_kib(controller.pid()).saturating_sub(before);
-    assert!(growth < BUFFERS_KIB + OTHER_KIB, "grown by {growth} KiB");
-    let joined_in = time_to_join(&controller);
-    assert!(joined_in < ANSWER_TIME_MAX, "{joined_in:?}");
+    check_growth(&mut controller, before);
 }
 
 // Only each stream had a limit: 30 connections with 20 streams took 1.6 GB.
@@ -88,7 +115,32 @@
 // A connection could have 100 streams with heads of 480 fields: 300 connections with 90 streams took 0.7 GB.
 #[test]
 fn heads_of_many_short_fields_take_no_more_memory_than_the_limit() {
-    hold_incomplete_messages(30, 90, 400, &partial_message()[..500]);
+    hold_incomplete_messages(60, 90, 400, &partial_message()[..500]);
+}
+
+// Messages that the transport had received, and what all connections had reported, were not counted.
+#[test]
+fn small_messages_of_many_connections_take_no_more_memory_than_the_limit() {
+    let mut controller = start_with_buffers();
+    let before = resident_kib(controller.pid());
+    let messages = vec![0; 16 << 10];
+    let mut clients: Vec<(RawConnection, u32)> = (0..250)
+        .map(|number| {
+            let mut connection = RawConnection::dial(controller.listen);
+            let stream = connection.open(loads::METHOD, &[]);
+            let identity = identity_message(&format!("f{number}"));
+            connection.send_data(stream, &identity);
+            (connection, stream)
+        })
+        .collect();
+    let end = Instant::now() + Duration::from_secs(4);
+    while Instant::now() < end {
+        for (connection, stream) in &mut clients {
+            connection.receive();
+            while !connection.is_closed && connection.send_data(*stream, &messages) > 0 {}
+        }
+    }
+    check_growth(&mut controller, before);
 }
 
 // Guards the limit of a turn: a turn went on for as long as a sender was fast enough.
--- a/crates/controller/src/streams.rs
+++ b/crates/controller/src/streams.rs
@@ -37,6 +37,9 @@
 /// Number of times that a connection is processed before the event loop polls again: once to read it, and once to send
 /// what that caused.
 const MAX_PASSES: usize = 2;
+/// Number of observations and requests after which no further connection is read before they are handled: hundreds of
+/// connections may send thousands of small messages each.
+const MAX_OBSERVATIONS: usize = 4096;
 /// Longest part of a client's node id that an error shows, in characters.
 const SHOWN_NAME_CHARS: usize = 100;
 
@@ -192,22 +195,31 @@
             self.mark_due_connections(now);
             self.close_silent_streams(now);
         }
+        // Connections that the last call did not reach come first.
         self.ready.extend(std::mem::take(&mut self.deferred));
         for _ in 0..MAX_PASSES {
-            let mut ready = std::mem::take(&mut self.ready);
-            ready.sort();
-            ready.dedup();
-            for token in ready {
+            let mut queue = self.take_ready().into_iter();
+            while let Some(token) = queue.next() {
+                if observations.len() + self.discovery_requests.len() >= MAX_OBSERVATIONS {
+                    self.ready.push(token);
+                    self.ready.extend(queue);
+                    return;
+                }
                 if !self.deferred.contains(&token) {
                     self.process_connection(now, token, observations);
                 }
             }
-            if self.ready.is_empty() {
-                return;
-            }
         }
     }
 
+    /// Takes the ready connections, each once and in the order in which they became ready.
+    fn take_ready(&mut self) -> Vec<Token> {
+        let mut seen = BTreeSet::new();
+        let mut ready = std::mem::take(&mut self.ready);
+        ready.retain(|token| seen.insert(*token));
+        ready
+    }
+
     fn mark_due_connections(&mut self, now: Moment) {
         let is_due =
             |connection: &ServerConnection| connection.wake_at().is_some_and(|at| at <= now);
--- a/crates/controller/src/streams/buffers.rs
+++ b/crates/controller/src/streams/buffers.rs
@@ -64,7 +64,7 @@
     }
 
     fn count_buffers(&mut self, token: Token) {
-        let connection = self.connections.get(&token);
+        let connection = self.connections.get_mut(&token);
         let bytes = connection.map_or(0, ServerConnection::buffer_bytes);
         self.buffers.set(token, bytes);
     }
--- a/crates/grpc/src/server.rs
+++ b/crates/grpc/src/server.rs
@@ -319,16 +319,16 @@
         self.has_more
     }
 
-    /// Bytes of memory taken by incomplete messages and by messages to send.
-    pub fn buffer_bytes(&self) -> usize {
-        self.streams.values().map(Stream::buffer_bytes).sum()
+    /// Bytes of memory taken by unread data, incomplete messages and messages to send.
+    pub fn buffer_bytes(&mut self) -> usize {
+        self.streams.values_mut().map(Stream::buffer_bytes).sum()
     }
 
     /// Closes the stream with the largest buffers. Returns `false` if no stream has any.
     pub fn close_largest(&mut self, status: Status, reason: &str) -> bool {
         let sizes = self
             .streams
-            .iter()
+            .iter_mut()
             .map(|(key, stream)| (stream.buffer_bytes(), *key));
         let largest = sizes.max().filter(|(bytes, _)| *bytes > 0);
         largest.is_some_and(|(_, key)| self.close(key, status, reason))
--- a/crates/grpc/src/server/stream.rs
+++ b/crates/grpc/src/server/stream.rs
@@ -142,9 +142,10 @@
         self.partial_since
     }
 
-    /// Bytes of memory taken by an incomplete message and by messages to send.
-    pub fn buffer_bytes(&self) -> usize {
-        self.deframer.reserved_bytes() + self.queue.bytes()
+    /// Bytes of memory taken by data that was not read yet, an incomplete message, and messages to send.
+    pub fn buffer_bytes(&mut self) -> usize {
+        let unread_bytes = self.receive.flow_control().used_capacity();
+        unread_bytes + self.deframer.reserved_bytes() + self.queue.bytes()
     }
 
     /// Queues a message if the queue would not exceed `limit` bytes; returns whether it was queued.
