--- a/crates/controller/src/admin.rs
+++ b/crates/controller/src/admin.rs
@@ -91,7 +91,7 @@
         self.listeners.set_tls(tls);
     }
 
-    /// Accepts all pending connections of a listener.
+    /// Accepts a batch of the pending connections of a listener.
     pub fn accept(&mut self, poll: &Poll, now: Moment, listener: Token) {
         for (socket, rights) in self.listeners.accept(listener) {
             self.add_connection(poll, now, socket, rights);
--- a/crates/controller/src/admin/listeners.rs
+++ b/crates/controller/src/admin/listeners.rs
@@ -17,6 +17,9 @@
 /// File mode of `read.sock`: every user of the machine may connect.
 const READ_SOCKET_MODE: u32 = 0o666;
 
+/// Maximum number of connections accepted at once; the poll then reports the listener again.
+const ACCEPT_BATCH: usize = 64;
+
 /// Offsets of the listeners' tokens from the first token.
 const ADMIN_SOCKET: u64 = 0;
 const READ_SOCKET: u64 = 1;
@@ -43,7 +46,10 @@
 
     fn accept(&self) -> Vec<AdminSocket> {
         let mut accepted = Vec::new();
-        while let Ok((stream, _)) = self.listener.accept() {
+        for _ in 0..ACCEPT_BATCH {
+            let Ok((stream, _)) = self.listener.accept() else {
+                break;
+            };
             if stream.set_nonblocking(true).is_ok() {
                 accepted.push(AdminSocket::Unix(stream));
             }
@@ -134,7 +140,7 @@
         }
     }
 
-    /// Accepts all pending connections of the listener with this token, and returns each with its access rights.
+    /// Accepts pending connections of the listener with this token, a batch at most, and returns each with its access rights.
     pub fn accept(&self, token: Token) -> Vec<(AdminSocket, AccessRights)> {
         let (accepted, rights) = match token.0 - self.first_token.0 {
             ADMIN_SOCKET => (self.admin_socket.accept(), AccessRights::Order),
--- a/crates/reactor/src/socket.rs
+++ b/crates/reactor/src/socket.rs
@@ -18,10 +18,16 @@
     Ok(TcpListener::from(socket))
 }
 
-/// Accepts all waiting connections. If accepting ended early, also returns the error, such as a lack of file
-/// descriptors.
+/// Maximum number of connections accepted by one call of [`accept`]. Peers that connect without pause would otherwise
+/// keep the event loop accepting.
+const ACCEPT_BATCH: usize = 64;
+
+/// Accepts waiting connections, up to `ACCEPT_BATCH`; a listener that is registered for [`Interest::Readable`] is then
+/// reported again. If accepting ended early, also returns the error, such as a lack of file descriptors.
+///
+/// [`Interest::Readable`]: crate::Interest::Readable
 pub fn accept(listener: &TcpListener) -> (Vec<TcpStream>, Option<io::Error>) {
-    accept_up_to(listener, usize::MAX)
+    accept_up_to(listener, ACCEPT_BATCH)
 }
 
 /// As [`accept`], but accepts at most `limit` connections, for a caller that has few file descriptors and decides for
