Bound a controller connection's turn by its socket, newcomers first

Cause: turns counted message bytes, but the HTTP/2 library reads its socket empty; and the whole backlog came before a newcomer. Change: the socket gives 16 KiB a turn; one connection of the backlog has its turn in an iteration, after the others.

--- a/crates/controller/src/streams.rs
+++ b/crates/controller/src/streams.rs
@@ -8,6 +8,7 @@
 use buffers::BufferAccount;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::TcpStream;
+use std::ops::Bound;
 use std::sync::Arc;
 use tracing::{debug, warn};
 use wheelspread::time::{Moment, Span};
@@ -34,12 +35,9 @@
 /// Time between two checks for silent streams and due connections. Each check visits every stream, which takes a
 /// noticeable time with thousands of them.
 const MAINTENANCE_INTERVAL: Span = Span::from_seconds(0.25);
-/// Number of times that a connection is processed before the event loop polls again: once to read it, and once to send
-/// what that caused.
-const MAX_PASSES: usize = 2;
 /// Number of observations and requests after which no further connection is read before they are handled: hundreds of
 /// connections may send thousands of small messages each.
-const MAX_OBSERVATIONS: usize = 4096;
+const MAX_OBSERVATIONS: usize = 1024;
 /// Longest part of a client's node id that an error shows, in characters.
 const SHOWN_NAME_CHARS: usize = 100;
 
@@ -87,6 +85,8 @@
     ready: Vec<Token>,
     /// Connections whose last turn ended at its limits. They continue after the event loop has polled again.
     deferred: BTreeSet<Token>,
+    /// The deferred connection that had its turn last.
+    last_backlog_turn: Token,
     buffers: BufferAccount,
     last_token: u64,
     last_stream: u64,
@@ -116,6 +116,7 @@
             writable: BTreeSet::new(),
             ready: Vec::new(),
             deferred: BTreeSet::new(),
+            last_backlog_turn: first,
             buffers: BufferAccount::new(buffer_limit),
             last_token: first.0,
             last_stream: 0,
@@ -187,31 +188,63 @@
         !self.ready.is_empty() || !self.deferred.is_empty()
     }
 
-    /// Reads and writes the connections that are ready or due, each up to the limits of one turn. What remains is done
-    /// after the event loop has polled again, so that a client that sends without pause delays no other.
+    /// Reads and writes the connections that are ready or due, each up to the limits of one turn. Connections whose last
+    /// turn ended at its limits come after the others, so that clients that send without pause delay no other.
     pub fn process_ready(&mut self, now: Moment, observations: &mut Vec<Observation>) {
         if now >= self.maintenance_at {
             self.maintenance_at = now + MAINTENANCE_INTERVAL;
             self.mark_due_connections(now);
             self.close_silent_streams(now);
         }
-        // Connections that the last call did not reach come first.
-        self.ready.extend(std::mem::take(&mut self.deferred));
-        for _ in 0..MAX_PASSES {
-            let mut queue = self.take_ready().into_iter();
-            while let Some(token) = queue.next() {
-                if observations.len() + self.discovery_requests.len() >= MAX_OBSERVATIONS {
-                    self.ready.push(token);
-                    self.ready.extend(queue);
-                    return;
-                }
-                if !self.deferred.contains(&token) {
-                    self.process_connection(now, token, observations);
-                }
+        let backlog = std::mem::take(&mut self.deferred);
+        self.process_interactive(now, &backlog, observations);
+        self.process_backlog(now, backlog, observations);
+        // Sends what the first turns caused.
+        self.process_interactive(now, &BTreeSet::new(), observations);
+    }
+
+    /// Processes the ready connections that are not in the backlog and whose turn has not ended at its limits.
+    fn process_interactive(
+        &mut self,
+        now: Moment,
+        backlog: &BTreeSet<Token>,
+        observations: &mut Vec<Observation>,
+    ) {
+        let mut queue = self.take_ready().into_iter();
+        while let Some(token) = queue.next() {
+            if self.has_enough_to_handle(observations) {
+                self.ready.push(token);
+                self.ready.extend(queue);
+                return;
+            }
+            if !backlog.contains(&token) && !self.deferred.contains(&token) {
+                self.process_connection(now, token, observations);
             }
         }
     }
 
+    /// Gives one connection of the backlog its turn, the next after the one that had it last. The others wait until the
+    /// event loop has polled again: their turns take longer than all that other connections need.
+    fn process_backlog(
+        &mut self,
+        now: Moment,
+        mut backlog: BTreeSet<Token>,
+        observations: &mut Vec<Observation>,
+    ) {
+        let after = (Bound::Excluded(self.last_backlog_turn), Bound::Unbounded);
+        let next = backlog.range(after).next().or_else(|| backlog.first());
+        if let Some(token) = next.copied() {
+            backlog.remove(&token);
+            self.last_backlog_turn = token;
+            self.process_connection(now, token, observations);
+        }
+        self.deferred.extend(backlog);
+    }
+
+    fn has_enough_to_handle(&self, observations: &[Observation]) -> bool {
+        observations.len() + self.discovery_requests.len() >= MAX_OBSERVATIONS
+    }
+
     /// Takes the ready connections, each once and in the order in which they became ready.
     fn take_ready(&mut self) -> Vec<Token> {
         let mut seen = BTreeSet::new();
--- a/crates/controller/src/streams/buffers.rs
+++ b/crates/controller/src/streams/buffers.rs
@@ -36,10 +36,11 @@
 
     /// The connection with the largest buffers, if all together exceed the limit.
     fn largest_above_limit(&self) -> Option<Token> {
+        if self.total_bytes <= self.max_bytes {
+            return None;
+        }
         let largest = self.bytes.iter().max_by_key(|(_, bytes)| **bytes);
-        largest
-            .map(|(token, _)| *token)
-            .filter(|_| self.total_bytes > self.max_bytes)
+        largest.map(|(token, _)| *token)
     }
 }
 
--- a/crates/grpc/src/io.rs
+++ b/crates/grpc/src/io.rs
@@ -5,6 +5,7 @@
 use std::net::TcpStream;
 use std::os::fd::{AsFd, BorrowedFd};
 use std::pin::Pin;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::task::{Context, Poll};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -12,11 +13,38 @@
 /// The peer's certificate; set once the TLS handshake is complete.
 pub type PeerCertificate = Arc<OnceLock<CertificateDer<'static>>>;
 
+/// The number of bytes that may still be read from a socket until its owner resets it. The HTTP/2 library reads until
+/// its socket would block, so without a budget a fast peer keeps it reading.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ReadBudget(Arc<AtomicUsize>);
+
+impl ReadBudget {
+    /// Allows this many bytes from now on.
+    pub fn reset(&self, bytes: usize) {
+        self.0.store(bytes, Ordering::Relaxed);
+    }
+
+    /// Whether no further byte may be read.
+    pub fn is_exhausted(&self) -> bool {
+        self.remaining() == 0
+    }
+
+    fn remaining(&self) -> usize {
+        self.0.load(Ordering::Relaxed)
+    }
+
+    fn take(&self, bytes: usize) {
+        self.reset(self.remaining().saturating_sub(bytes));
+    }
+}
+
 /// A non-blocking TCP socket, with or without TLS.
 pub struct Socket {
     tcp: TcpStream,
     tls: Option<Box<rustls::Connection>>,
     peer_certificate: PeerCertificate,
+    /// Bounds what the HTTP/2 library reads; `None`: no bound.
+    read_budget: Option<ReadBudget>,
 }
 
 /// Maps `WouldBlock` to `Poll::Pending`: the event loop polls again when the socket is ready.
@@ -44,6 +72,7 @@
             tcp,
             tls: None,
             peer_certificate: PeerCertificate::default(),
+            read_budget: None,
         }
     }
 
@@ -53,6 +82,15 @@
             tcp,
             tls: Some(Box::new(tls.into())),
             peer_certificate: PeerCertificate::default(),
+            read_budget: None,
+        }
+    }
+
+    /// Bounds what the HTTP/2 library reads.
+    pub(crate) fn with_read_budget(self, budget: ReadBudget) -> Socket {
+        Socket {
+            read_budget: Some(budget),
+            ..self
         }
     }
 
@@ -147,8 +185,20 @@
         _: &mut Context,
         buf: &mut ReadBuf,
     ) -> Poll<std::io::Result<()>> {
-        let unfilled = buf.initialize_unfilled();
-        would_block_is_pending(self.get_mut().read(unfilled)).map_ok(|count| buf.advance(count))
+        let socket = self.get_mut();
+        let Some(budget) = socket.read_budget.clone() else {
+            let unfilled = buf.initialize_unfilled();
+            return would_block_is_pending(socket.read(unfilled))
+                .map_ok(|count| buf.advance(count));
+        };
+        if budget.is_exhausted() {
+            return Poll::Pending;
+        }
+        let unfilled = buf.initialize_unfilled_to(buf.remaining().min(budget.remaining()));
+        would_block_is_pending(socket.read(unfilled)).map_ok(|count| {
+            budget.take(count);
+            buf.advance(count);
+        })
     }
 }
 
--- a/crates/grpc/src/server.rs
+++ b/crates/grpc/src/server.rs
@@ -3,7 +3,7 @@
 mod stream;
 
 use crate::error::ConnectionError;
-use crate::io::{PeerCertificate, Socket};
+use crate::io::{PeerCertificate, ReadBudget, Socket};
 use crate::{Limits, Status, MAX_HEADER_LIST_BYTES, STREAM_WINDOW_BYTES};
 use bytes::Bytes;
 use h2::server::{Connection, Handshake, SendResponse};
@@ -62,7 +62,7 @@
 /// in memory, so a turn accepts as many streams as a connection may have.
 const MAX_STEPS_PER_TURN: usize = 128;
 
-/// Number of received message bytes after which a turn ends.
+/// Number of bytes that are read from the socket in one turn. They may hold thousands of messages or header fields.
 const MAX_BYTES_PER_TURN: usize = 16 << 10;
 
 /// Maximum number of reset streams that are remembered, to ignore frames for them that are still in transit.
@@ -85,8 +85,8 @@
     pings: Option<PingPong>,
     ping_sent_at: Option<Moment>,
     last_received_at: Moment,
-    /// Message bytes received in the current turn.
-    turn_bytes: usize,
+    /// Bounds what is read in a turn.
+    read_budget: ReadBudget,
     /// Whether the last turn ended at its limits.
     has_more: bool,
 }
@@ -119,6 +119,8 @@
 
     fn from_socket(now: Moment, socket: Socket, limits: Limits) -> ServerConnection {
         let peer_certificate = socket.peer_certificate();
+        let read_budget = ReadBudget::default();
+        let socket = socket.with_read_budget(read_budget.clone());
         let handshake = h2::server::Builder::new()
             .max_concurrent_streams(limits.max_streams)
             .max_header_list_size(MAX_HEADER_LIST_BYTES)
@@ -141,7 +143,7 @@
             pings: None,
             ping_sent_at: None,
             last_received_at: now,
-            turn_bytes: 0,
+            read_budget,
             has_more: false,
         }
     }
@@ -151,17 +153,14 @@
     pub fn turn(&mut self, now: Moment) -> (Vec<ServerEvent>, Option<String>) {
         let mut context = Context::from_waker(Waker::noop());
         // Progress in one part may unblock another, so all are polled until none makes progress.
-        self.turn_bytes = 0;
+        self.read_budget.reset(MAX_BYTES_PER_TURN);
         self.has_more = true;
         for _ in 0..MAX_STEPS_PER_TURN {
             let has_progressed = self.poll_connection(&mut context)
                 | self.read_streams(now, &mut context)
                 | self.write_streams(&mut context);
             if !has_progressed || self.failure.is_some() {
-                self.has_more = false;
-                break;
-            }
-            if self.turn_bytes >= MAX_BYTES_PER_TURN {
+                self.has_more = self.read_budget.is_exhausted() && self.failure.is_none();
                 break;
             }
         }
@@ -263,9 +262,8 @@
                 let stream = *key;
                 self.events.push(ServerEvent::Message { stream, bytes });
             });
-            if result.received_bytes > 0 {
+            if result.has_received {
                 self.last_received_at = now;
-                self.turn_bytes += result.received_bytes;
             }
             has_progressed |= result.has_progressed;
             ends.extend(result.end.map(|end| (*key, end)));
--- a/crates/grpc/src/server/stream.rs
+++ b/crates/grpc/src/server/stream.rs
@@ -12,9 +12,6 @@
 /// Maximum length of a reason sent to a peer; the rest is cut off.
 const MAX_REASON_CHARS: usize = 200;
 
-/// Number of bytes after which one read of a stream ends. They may hold thousands of messages.
-const MAX_BYTES_PER_READ: usize = 16 << 10;
-
 pub(super) struct Stream {
     receive: RecvStream,
     send: SendStream<Bytes>,
@@ -35,8 +32,8 @@
 /// The result of reading from a stream.
 #[derive(Default)]
 pub(super) struct ReadResult {
-    /// Number of bytes that arrived.
-    pub received_bytes: usize,
+    /// Data arrived.
+    pub has_received: bool,
     /// Data or the stream's end arrived.
     pub has_progressed: bool,
     pub end: Option<StreamEnd>,
@@ -55,7 +52,7 @@
         }
     }
 
-    /// Reads the data that has arrived, up to `MAX_BYTES_PER_READ`.
+    /// Reads all data that has arrived.
     pub fn read(
         &mut self,
         now: Moment,
@@ -63,11 +60,10 @@
         mut on_message: impl FnMut(Bytes),
     ) -> ReadResult {
         let mut result = ReadResult::default();
-        while !self.has_ended && result.end.is_none() && result.received_bytes < MAX_BYTES_PER_READ
-        {
+        while !self.has_ended && result.end.is_none() {
             match self.receive.poll_data(context) {
                 Poll::Ready(Some(Ok(piece))) => {
-                    result.received_bytes += piece.len();
+                    result.has_received = true;
                     result.has_progressed = true;
                     result.end = self.receive_piece(now, &piece, &mut on_message);
                 }
